--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# README names two targets: demo and test. Each makes its own virtual environment.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := gooseberryyoke gooseberryyoke-daemon gooseberryyoke-client
+MANIFESTS := constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
+
+.PHONY: demo test lint format bench proof clean
+
+$(VENV)/installed: $(MANIFESTS)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt setuptools
+	$(BIN)/pip install --quiet --constraint constraints.txt \
+		$(PACKAGES:%=--editable packages/%) \
+		hypothesis matplotlib numpy pytest pytest-xdist ruff syrupy
+	touch $@
+
+test: $(VENV)/installed
+	$(BIN)/pytest -n 6
+
+lint: $(VENV)/installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client of the load balancer."""
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of the load balancer."""
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/record.py
@@ -0,0 +1,70 @@
+"""Base class of plain data classes with slots."""
+
+__all__ = ["Record"]
+
+
+class Record:
+    """
+    Plain data with slots: compared and shown by value, copied with changes.
+
+    A subclass names its fields in ``__slots__`` and takes them in ``__init__``
+    under the same names.
+
+    Examples
+    --------
+    >>> class Point(Record):
+    ...     __slots__ = ("x", "y")
+    ...     def __init__(self, x, y):
+    ...         self.x = x
+    ...         self.y = y
+    >>> Point(1, 2).replace(y=5)
+    Point(x=1, y=5)
+    """
+
+    __slots__ = ()
+
+    def fields(self):
+        """
+        Name the slots of the class and its bases, in the order of declaration.
+
+        Returns
+        -------
+        list of str
+        """
+        return [
+            name
+            for cls in reversed(type(self).__mro__)
+            for name in getattr(cls, "__slots__", ())
+        ]
+
+    def replace(self, **changes):
+        """
+        Copy the record with some fields changed.
+
+        Parameters
+        ----------
+        **changes
+            New values by field name.
+
+        Returns
+        -------
+        Record
+            A new record of the same class.
+        """
+        values = {name: getattr(self, name) for name in self.fields()}
+        values.update(changes)
+        return type(self)(**values)
+
+    def __eq__(self, other):
+        if type(other) is not type(self):
+            return NotImplemented
+        return all(
+            getattr(self, name) == getattr(other, name) for name in self.fields()
+        )
+
+    def __hash__(self):
+        return hash(tuple(getattr(self, name) for name in self.fields()))
+
+    def __repr__(self):
+        shown = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.fields())
+        return f"{type(self).__name__}({shown})"
