--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
@@ -0,0 +1,87 @@
+"""HTTP/1.1 messages over one stream."""
+
+import h11
+import trio
+
+__all__ = ["STREAM_ERRORS", "Channel"]
+
+STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+_RECEIVE_BYTES = 16 * 1024
+
+
+class Channel:
+    """
+    A stream together with the protocol state of its connection.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Carries the bytes.
+    role : h11.CLIENT or h11.SERVER
+        Of this end.
+    head_bytes : int
+        Longest head that is read.
+    """
+
+    __slots__ = ("stream", "conn", "early_bytes", "idle_since_s")
+
+    def __init__(self, stream, role, head_bytes):
+        self.stream = stream
+        self.conn = h11.Connection(role, max_incomplete_event_size=head_bytes)
+        self.early_bytes = 0
+        self.idle_since_s = 0.0
+
+    async def receive(self):
+        """
+        Read the next event of the peer.
+
+        Returns
+        -------
+        h11.Event
+
+        Raises
+        ------
+        h11.RemoteProtocolError
+            If the peer breaks the protocol or ends within a message.
+        """
+        while (event := self.conn.next_event()) is h11.NEED_DATA:
+            await self.feed()
+        return event
+
+    async def feed(self):
+        """
+        Read some bytes ahead of their parsing.
+
+        Returns
+        -------
+        bool
+            False at the end of the stream.
+        """
+        data = await self.stream.receive_some(_RECEIVE_BYTES)
+        self.conn.receive_data(data)
+        self.early_bytes += len(data)
+        return bool(data)
+
+    async def send(self, *events):
+        """
+        Write events in one go.
+
+        Parameters
+        ----------
+        *events : h11.Event
+            In the order of the protocol.
+        """
+        data = b"".join(self.conn.send(event) or b"" for event in events)
+        if data:
+            await self.stream.send_all(data)
+
+    def has_unread(self):
+        """
+        Tell whether bytes of a next message were already read.
+
+        Returns
+        -------
+        bool
+        """
+        return bool(self.conn.trailing_data[0])
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/exceptions.py
@@ -0,0 +1,55 @@
+"""Failures of exchanges over the network."""
+
+from gooseberryyoke.outcome import Verdict
+
+__all__ = ["ConnectFailed", "ExchangeBroken", "RequestRefused", "WireError"]
+
+
+class WireError(Exception):
+    """
+    An exchange that brought no whole answer.
+
+    Parameters
+    ----------
+    address : Address
+        The process that was asked.
+    detail : str
+        What went wrong.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        Whether the request may have run at the other end.
+    """
+
+    verdict = Verdict.MAY_HAVE_RUN
+
+    def __init__(self, address, detail):
+        super().__init__(f"{address}: {detail}")
+        self.address = address
+        self.detail = detail
+
+
+class ConnectFailed(WireError):  # noqa: N818
+    """No connection came about, so no byte of the request was written."""
+
+    verdict = Verdict.NOT_RUN
+
+
+class ExchangeBroken(WireError):  # noqa: N818
+    """The request was written, wholly or in part, and no whole answer came."""
+
+
+class RequestRefused(Exception):  # noqa: N818
+    """
+    A request that the server refuses while reading it.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        The answer to send before the connection is closed.
+    """
+
+    def __init__(self, refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
@@ -0,0 +1,173 @@
+"""Requests and responses, apart from how they travel."""
+
+from math import ceil
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import orjson
+
+from gooseberryyoke.record import Record
+
+__all__ = [
+    "VERDICT_HEADER",
+    "Request",
+    "Response",
+    "find_header",
+    "json_response",
+    "problem_response",
+]
+
+VERDICT_HEADER = "gooseberryyoke-verdict"
+
+
+def find_header(headers, name, default=None):
+    """
+    Find the first header of a name.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+        Pairs with lower-case names.
+    name : str
+        Name in any case.
+    default : str, optional
+        Returned if there is none.
+
+    Returns
+    -------
+    str or None
+    """
+    name = name.lower()
+    return next((value for key, value in headers if key == name), default)
+
+
+def _normalize(headers):
+    return tuple((name.lower(), value) for name, value in headers)
+
+
+class Request(Record):
+    """
+    A request, read whole.
+
+    Parameters
+    ----------
+    method : str
+        HTTP method in upper case.
+    target : str
+        Path with query, as sent.
+    headers : iterable of (str, str)
+        Pairs; names are turned to lower case.
+    body : bytes
+        Empty if there is none.
+
+    Examples
+    --------
+    >>> req = Request("GET", "/v1/certificates/7?copy=1", [("Accept", "*/*")])
+    >>> req.path, req.query, req.header("accept")
+    ('/v1/certificates/7', {'copy': '1'}, '*/*')
+    """
+
+    __slots__ = ("method", "target", "headers", "body")
+
+    def __init__(self, method, target, headers=(), body=b""):
+        self.method = method
+        self.target = target
+        self.headers = _normalize(headers)
+        self.body = body
+
+    @property
+    def path(self):
+        """Path without query, percent escapes decoded."""
+        return unquote(self.target.partition("?")[0])
+
+    @property
+    def query(self):
+        """Query parameters, the last of each name."""
+        return dict(parse_qsl(urlsplit(self.target).query, keep_blank_values=True))
+
+    def header(self, name, default=None):
+        """See `find_header`."""
+        return find_header(self.headers, name, default)
+
+
+class Response(Record):
+    """
+    A response; its body may be produced while it is sent.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status, 200 or more.
+    headers : iterable of (str, str)
+        Pairs; names are turned to lower case. The server adds the framing.
+    body : bytes or async iterator of bytes
+        An iterator is sent chunk by chunk; if it raises, the connection is cut,
+        so that the peer can't take a part for the whole.
+    """
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers=(), body=b""):
+        self.status = status
+        self.headers = _normalize(headers)
+        self.body = body
+
+    def header(self, name, default=None):
+        """See `find_header`."""
+        return find_header(self.headers, name, default)
+
+
+def json_response(status, payload, headers=()):
+    """
+    Make a response with a JSON body.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    payload : object
+        Anything that orjson writes.
+    headers : iterable of (str, str)
+        More headers.
+
+    Returns
+    -------
+    Response
+    """
+    kind = ("content-type", "application/json")
+    return Response(status, (kind, *headers), orjson.dumps(payload))
+
+
+def problem_response(refusal, headers=()):
+    """
+    Turn a refusal into problem JSON (RFC 9457).
+
+    Parameters
+    ----------
+    refusal : Refusal
+        What the caller is told.
+    headers : iterable of (str, str)
+        More headers.
+
+    Returns
+    -------
+    Response
+        With the verdict header, and Retry-After in whole seconds if known.
+    """
+    payload = {
+        "type": f"urn:gooseberryyoke:problem:{refusal.reason}",
+        "title": refusal.reason.replace("-", " "),
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "reason": refusal.reason,
+        "verdict": refusal.verdict.value,
+    }
+    fixed = [
+        ("content-type", "application/problem+json"),
+        (VERDICT_HEADER, refusal.verdict.value),
+    ]
+    if refusal.retry_after_s is not None:
+        payload["retry_after_s"] = refusal.retry_after_s
+        fixed.append(("retry-after", str(max(1, ceil(refusal.retry_after_s)))))
+    if refusal.alternatives:
+        payload["alternatives"] = list(refusal.alternatives)
+    return Response(refusal.status, (*fixed, *headers), orjson.dumps(payload))
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/network.py
@@ -0,0 +1,118 @@
+"""Connections over TCP, with TLS where a context is given."""
+
+import trio
+
+from gooseberryyoke_daemon.wire.address import Address
+
+__all__ = ["TcpNetwork", "has_pending_input", "listener_address"]
+
+
+class TcpNetwork:
+    """
+    The network of the machine.
+
+    Parameters
+    ----------
+    server_ssl : ssl.SSLContext, optional
+        TLS for what listens.
+    client_ssl : ssl.SSLContext, optional
+        TLS for what connects.
+    """
+
+    def __init__(self, server_ssl=None, client_ssl=None):
+        self._server_ssl = server_ssl
+        self._client_ssl = client_ssl
+
+    async def connect(self, address):
+        """
+        Open a connection.
+
+        Parameters
+        ----------
+        address : Address
+            The listening process.
+
+        Returns
+        -------
+        trio.abc.Stream
+
+        Raises
+        ------
+        OSError
+            If it can't be had.
+        """
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        if self._client_ssl is None:
+            return stream
+        return trio.SSLStream(
+            stream,
+            self._client_ssl,
+            server_hostname=address.host,
+            https_compatible=True,
+        )
+
+    async def listen(self, address):
+        """
+        Listen at an address.
+
+        Parameters
+        ----------
+        address : Address
+            Port 0 takes any free one, see `listener_address`.
+
+        Returns
+        -------
+        list of trio.abc.Listener
+
+        Raises
+        ------
+        OSError
+            If the address is taken or not of this machine.
+        """
+        listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+        if self._server_ssl is None:
+            return listeners
+        return [
+            trio.SSLListener(listener, self._server_ssl, https_compatible=True)
+            for listener in listeners
+        ]
+
+
+def listener_address(listener):
+    """
+    Tell where a listener listens.
+
+    Parameters
+    ----------
+    listener : trio.abc.Listener
+        Of any network here.
+
+    Returns
+    -------
+    Address
+    """
+    if hasattr(listener, "address"):
+        return listener.address
+    listener = getattr(listener, "transport_listener", listener)
+    host, port = listener.socket.getsockname()[:2]
+    return Address(host, port)
+
+
+def has_pending_input(stream):
+    """
+    Tell whether a read would return at once, without reading.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Of any network here.
+
+    Returns
+    -------
+    bool
+        True also if the peer has closed.
+    """
+    stream = getattr(stream, "transport_stream", stream)
+    if hasattr(stream, "socket"):
+        return stream.socket.is_readable()
+    return stream.is_readable()
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reading.py
@@ -0,0 +1,117 @@
+"""Requests read within the limits."""
+
+import h11
+import trio
+
+from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.wire.exceptions import RequestRefused
+from gooseberryyoke_daemon.wire.message import Request
+
+__all__ = ["read_request", "refusal_of"]
+
+_REASONS = {400: "bad-request", 431: "head-too-large"}
+
+
+def refusal_of(status, reason, detail, retry_after_s=None):
+    """
+    Make the refusal of a request that never reached the handler.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    reason, detail : str
+        As in `Refusal`.
+    retry_after_s : float, optional
+        As in `Refusal`.
+
+    Returns
+    -------
+    Refusal
+        With the verdict not-run.
+    """
+    return Refusal(Verdict.NOT_RUN, status, reason, detail, retry_after_s)
+
+
+async def read_request(channel, limits):
+    """
+    Read one request whole.
+
+    Parameters
+    ----------
+    channel : Channel
+        Of the server's end.
+    limits : Limits
+        On the request.
+
+    Returns
+    -------
+    Request or None
+        None if the peer closed before its first byte.
+
+    Raises
+    ------
+    RequestRefused
+        If the request breaks a limit or the protocol.
+    """
+    try:
+        with trio.fail_after(limits.slow_sender_s):
+            return await _read(channel, limits)
+    except trio.TooSlowError:
+        detail = f"request not whole within {limits.slow_sender_s:g} s"
+        raise RequestRefused(refusal_of(408, "slow-sender", detail)) from None
+    except h11.RemoteProtocolError as exc:
+        status = exc.error_status_hint
+        reason = _REASONS.get(status, "bad-request")
+        raise RequestRefused(refusal_of(status, reason, str(exc))) from exc
+
+
+async def _read(channel, limits):
+    head = await channel.receive()
+    if isinstance(head, h11.ConnectionClosed):
+        return None
+    _check_head(head, limits)
+    if channel.conn.they_are_waiting_for_100_continue:
+        await channel.send(h11.InformationalResponse(status_code=100, headers=[]))
+    body = await _read_body(channel, limits)
+    return Request(
+        head.method.decode("ascii"),
+        head.target.decode("ascii"),
+        [
+            (name.decode("ascii"), value.decode("latin-1"))
+            for name, value in head.headers
+        ],
+        body,
+    )
+
+
+def _check_head(head, limits):
+    if len(head.headers) > limits.header_count:
+        detail = f"{len(head.headers)} headers, at most {limits.header_count}"
+        raise RequestRefused(refusal_of(431, "too-many-headers", detail))
+    # h11 limits only a head that comes in parts; one that was read at once counts too.
+    size = (
+        len(head.method)
+        + len(head.target)
+        + sum(len(name) + len(value) + len(b": \r\n") for name, value in head.headers)
+    )
+    if size > limits.head_bytes:
+        detail = f"head of {size} bytes, at most {limits.head_bytes}"
+        raise RequestRefused(refusal_of(431, "head-too-large", detail))
+    for name, value in head.headers:
+        if name == b"content-length":
+            _check_body_size(int(value), limits)
+
+
+def _check_body_size(size, limits):
+    if size > limits.body_bytes:
+        detail = f"body of {size} bytes or more, at most {limits.body_bytes}"
+        raise RequestRefused(refusal_of(413, "body-too-large", detail))
+
+
+async def _read_body(channel, limits):
+    body = bytearray()
+    while isinstance(event := await channel.receive(), h11.Data):
+        _check_body_size(len(body) + len(event.data), limits)
+        body += event.data
+    return bytes(body)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -0,0 +1,209 @@
+"""One connection of the server, exchange by exchange."""
+
+from contextlib import suppress
+
+import h11
+import trio
+from loguru import logger
+
+from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS, Channel
+from gooseberryyoke_daemon.wire.exceptions import RequestRefused
+from gooseberryyoke_daemon.wire.message import problem_response
+from gooseberryyoke_daemon.wire.reading import read_request, refusal_of
+
+__all__ = ["ServerConnection", "refuse_connection"]
+
+_LINGER_S = 1.0
+_LINGER_BYTES = 256 * 1024
+_BODYLESS = (204, 304)
+
+
+def _encode(headers):
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
+class ServerConnection:
+    """
+    Serves the exchanges of one connection in turn.
+
+    Parameters
+    ----------
+    server : HttpServer
+        Owner of handler, limits and counts.
+    stream : trio.abc.Stream
+        Closed by the owner.
+    """
+
+    __slots__ = ("_server", "_channel", "_gone")
+
+    def __init__(self, server, stream):
+        self._server = server
+        self._channel = Channel(stream, h11.SERVER, server.limits.head_bytes)
+        self._gone = False
+
+    async def serve(self):
+        """Serve until either end closes; failures of the peer end here."""
+        with suppress(*STREAM_ERRORS):
+            try:
+                while await self._serve_exchange():
+                    self._channel.conn.start_next_cycle()
+            except RequestRefused as exc:
+                self._server.counts[f"refused-{exc.refusal.reason}"] += 1
+                await _send_last(self._channel, exc.refusal)
+
+    async def _serve_exchange(self):
+        if not await self._wait_for_request():
+            return False
+        req = await read_request(self._channel, self._server.limits)
+        if req is None:
+            return False
+        self._server.counts["requests"] += 1
+        self._server.exchanges += 1
+        try:
+            await self._answer(req)
+        finally:
+            self._server.exchanges -= 1
+        conn = self._channel.conn
+        done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
+        return done and not self._gone
+
+    async def _wait_for_request(self):
+        if self._channel.has_unread():
+            return True
+        scope = self._server.idle_scope()
+        self._server.watch_idle(scope)
+        try:
+            with scope:
+                return await self._channel.feed()
+        finally:
+            self._server.forget_idle(scope)
+        # A request may cross the closing. Without an answer its sender would have
+        # to count it as perhaps run; nothing is read after this one, so it did not.
+        detail = "connection closed for being idle"
+        raise RequestRefused(refusal_of(408, "idle-connection", detail))
+
+    async def _answer(self, req):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_peer, nursery.cancel_scope)
+            await self._respond(req)
+            nursery.cancel_scope.cancel()
+
+    async def _watch_peer(self, scope):
+        """Cancel the handler when the peer closes; keep early bytes, up to a limit."""
+        channel = self._channel
+        channel.early_bytes = 0
+        with suppress(*STREAM_ERRORS):
+            while await channel.feed():
+                if channel.early_bytes > self._server.limits.head_bytes:
+                    return
+        self._gone = True
+        self._server.counts["peer-gone"] += 1
+        scope.cancel()
+
+    async def _respond(self, req):
+        resp = await self._call_handler(req)
+        try:
+            await self._send(req, resp)
+        except trio.TooSlowError:
+            self._server.counts["slow-reader"] += 1
+            self._gone = True
+        except STREAM_ERRORS:
+            self._gone = True
+        except Exception as exc:
+            self._note_failure(req, exc)
+            self._gone = True
+
+    async def _call_handler(self, req):
+        try:
+            return await self._server.handler(req)
+        except Exception as exc:
+            self._note_failure(req, exc)
+            detail = f"{req.method} {req.path} failed within the server"
+            return problem_response(
+                Refusal(Verdict.MAY_HAVE_RUN, 500, "internal-error", detail)
+            )
+
+    def _note_failure(self, req, exc):
+        self._server.counts["handler-failed"] += 1
+        logger.opt(exception=exc).error("{} {} failed", req.method, req.path)
+
+    async def _send(self, req, resp):
+        headers = list(resp.headers)
+        if self._server.is_draining:
+            headers.append(("connection", "close"))
+        whole = isinstance(resp.body, bytes)
+        if whole and resp.status not in _BODYLESS:
+            headers.append(("content-length", str(len(resp.body))))
+        head = h11.Response(status_code=resp.status, headers=_encode(headers))
+        no_body = req.method == "HEAD" or resp.status in _BODYLESS
+        if whole:
+            parts = [] if no_body else [h11.Data(resp.body)]
+            await self._send_events(head, *parts, h11.EndOfMessage())
+            return
+        try:
+            await self._send_events(head)
+            if not no_body:
+                await self._send_chunks(resp.body)
+        finally:
+            await _close_body(resp.body)
+        await self._send_events(h11.EndOfMessage())
+
+    async def _send_chunks(self, body):
+        async for chunk in body:
+            if chunk:
+                await self._send_events(h11.Data(chunk))
+
+    async def _send_events(self, *events):
+        with trio.fail_after(self._server.limits.slow_reader_s):
+            await self._channel.send(*events)
+
+
+async def _close_body(body):
+    if hasattr(body, "aclose"):
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + _LINGER_S):
+            await body.aclose()
+
+
+async def _send_last(channel, refusal):
+    """Send a refusal and wait a little, so that it isn't lost to a reset."""
+    if channel.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    resp = problem_response(refusal)
+    headers = [
+        *resp.headers,
+        ("content-length", str(len(resp.body))),
+        ("connection", "close"),
+    ]
+    head = h11.Response(status_code=resp.status, headers=_encode(headers))
+    with trio.move_on_after(_LINGER_S):
+        await channel.send(head, h11.Data(resp.body), h11.EndOfMessage())
+        await _linger(channel.stream)
+
+
+async def _linger(stream):
+    # Closing a socket with unread input resets the connection, and the peer may
+    # lose the answer already sent; reading the rest for a while avoids it.
+    if hasattr(stream, "send_eof"):
+        await stream.send_eof()
+    left_bytes = _LINGER_BYTES
+    while left_bytes > 0 and (data := await stream.receive_some(left_bytes)):
+        left_bytes -= len(data)
+
+
+async def refuse_connection(stream, limits):
+    """
+    Tell a peer that there are too many connections.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Closed by the caller.
+    limits : Limits
+        Of the server.
+    """
+    detail = f"{limits.connections} connections are open, the most served"
+    refusal = refusal_of(503, "too-many-connections", detail, limits.connection_retry_s)
+    channel = Channel(stream, h11.SERVER, limits.head_bytes)
+    with suppress(*STREAM_ERRORS):
+        await _send_last(channel, refusal)
