Choose servers, admit by share and patience, bound retries

Cause: entries need the decisions between a parsed request and its dispatch: which server, whether at all, and whether once more.

Ruled out: policies as functions chosen by a switch (baselines must stand beside the chosen one), report times on the server's clock (the clocks of instances differ; reports carry their age).

Change: balance (fleet view from announcements, lagging reports and own dispatches; earliest predicted finish beside five baselines), admission (refusal by prediction and patience, shares between accounts while a service is contended), retry (budget, verdicts, deadline). Servers that fail at once are shunned for a pause that doubles.

Conclusion: a first whole version to wire the request pipeline against.

--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/admission.py
@@ -0,0 +1,147 @@
+"""Admission of requests by prediction, patience and shares."""
+
+from itertools import count
+
+from returns.result import Failure, Success
+
+from gooseberryyoke.admission.shares import Shares
+from gooseberryyoke.admission.ticket import Ticket
+from gooseberryyoke.outcome import Refusal, Verdict
+
+__all__ = ["Admission"]
+
+TOO_MANY_REQUESTS = 429
+UNAVAILABLE = 503
+CONTENDED_WAIT_S = 0.25
+BORROW = 0.25
+RETRY_AT_LEAST_S = 0.5
+
+
+class Admission:
+    """
+    Admission of requests at one entry.
+
+    A request that can't be answered within its patience is refused at once.
+    While a service is contended, so is one of an account that is over its
+    share; as long as it is not, every account may use what is there.
+
+    Parameters
+    ----------
+    contended_wait_s : float
+        Predicted wait for a batch slot from which a service is contended.
+    borrow : float
+        Part of the unused share of others that an account may use while the
+        service is contended, from 0 to 1.
+    """
+
+    __slots__ = ("contended_wait_s", "borrow", "_shares", "_tickets", "_numbers")
+
+    def __init__(self, contended_wait_s=CONTENDED_WAIT_S, borrow=BORROW):
+        self.contended_wait_s = contended_wait_s
+        self.borrow = borrow
+        self._shares = {}
+        self._tickets = {}
+        self._numbers = count(1)
+
+    def admit(self, account, weight, request_class, demand, predicted, deadline_s, now):
+        """
+        Admit a request or refuse it at once.
+
+        Parameters
+        ----------
+        account : str
+            Client account.
+        weight : float
+            Weight of the account's share, greater than 0.
+        request_class : str
+            Class of the request within its account.
+        demand : Demand
+        predicted : Choice
+            Where the request would go and when it would be answered.
+        deadline_s : float
+            Time by which the whole answer is due, on the clock of ``now``.
+        now : float
+            Time in seconds.
+
+        Returns
+        -------
+        Result[Ticket, Refusal]
+            Refusals carry `Verdict.NOT_RUN`.
+        """
+        shares = self._shares_of(demand.service)
+        shares.seen(account, weight, now)
+        late = _lateness(predicted, deadline_s - now)
+        if late is not None:
+            return Failure(late)
+        cost_s = predicted.predicted_finish_s - predicted.predicted_wait_s
+        if predicted.predicted_wait_s > self.contended_wait_s:
+            excess_s = shares.excess_s(account, cost_s)
+            if excess_s > 0:
+                return Failure(_over_share(account, shares, excess_s, predicted))
+        shares.add(account, cost_s)
+        ticket = Ticket(
+            next(self._numbers), account, request_class, demand.service, cost_s, now
+        )
+        self._tickets[ticket.number] = ticket
+        return Success(ticket)
+
+    def release(self, ticket, now):
+        """
+        Give back what an admitted request held; a second time does nothing.
+
+        Parameters
+        ----------
+        ticket : Ticket
+        now : float
+            Time in seconds.
+        """
+        if self._tickets.pop(ticket.number, None) is not None:
+            self._shares[ticket.service].add(ticket.account, -ticket.cost_s)
+
+    def in_flight(self):
+        """
+        Count the admitted requests that were not released.
+
+        Returns
+        -------
+        int
+        """
+        return len(self._tickets)
+
+    def _shares_of(self, service):
+        shares = self._shares.get(service)
+        if shares is None:
+            shares = self._shares[service] = Shares(self.borrow)
+        return shares
+
+
+def _lateness(predicted, patience_s):
+    if patience_s <= 0:
+        detail = f"the deadline passed {-patience_s:.3f} s ago"
+        return _refusal(UNAVAILABLE, "deadline-passed", detail, None)
+    late_s = predicted.predicted_finish_s - patience_s
+    if late_s <= 0:
+        return None
+    detail = (
+        f"the answer is predicted in {predicted.predicted_finish_s:.2f} s,"
+        f" the patience of this hour is {patience_s:.2f} s"
+    )
+    if late_s > predicted.predicted_wait_s:
+        return _refusal(UNAVAILABLE, "patience-too-short", detail, None)
+    # The queue drains one second a second at best.
+    return _refusal(UNAVAILABLE, "too-late", detail, max(RETRY_AT_LEAST_S, late_s))
+
+
+def _over_share(account, shares, excess_s, predicted):
+    used_s = shares.in_flight_s(account)
+    served_s = predicted.predicted_finish_s - predicted.predicted_wait_s
+    retry_s = max(RETRY_AT_LEAST_S, served_s * min(1.0, excess_s / (used_s or 1.0)))
+    detail = (
+        f"account {account!r} has {used_s:.1f} s of work in flight,"
+        f" {excess_s:.1f} s over its share while the service is contended"
+    )
+    return _refusal(TOO_MANY_REQUESTS, "over-share", detail, retry_s)
+
+
+def _refusal(status, reason, detail, retry_after_s):
+    return Refusal(Verdict.NOT_RUN, status, reason, detail, retry_after_s)
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/choose.py
@@ -0,0 +1,69 @@
+"""The choice of a backend server for a request."""
+
+from returns.result import Failure, Success
+
+from gooseberryyoke.balance.policy import POLICIES
+from gooseberryyoke.balance.predictive import EarliestFinish
+from gooseberryyoke.outcome import Refusal, Verdict
+
+__all__ = ["choose"]
+
+UNAVAILABLE = 503
+NO_SERVER_RETRY_S = 2.0
+DEFAULT_POLICY = POLICIES[EarliestFinish.name]
+
+
+def choose(fleet, demand, now, rng, exclude=(), policy=DEFAULT_POLICY):
+    """
+    Choose a backend server for a request.
+
+    Servers that failed lately are taken only if no other is left, cold ones
+    only after those, leaving ones never.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    demand : Demand
+    now : float
+        Time in seconds.
+    rng : random.Random
+    exclude : collection of str
+        Servers that earlier attempts of the request have tried.
+    policy : Policy
+        By default the one that picks the earliest predicted finish.
+
+    Returns
+    -------
+    Result[Choice, Refusal]
+    """
+    pool = fleet.pool(demand.service, demand.model)
+    closed = fleet.closed(demand.service, demand.model)
+
+    def healthy(view):
+        return view.shunned_until_s <= now and view.server_id not in exclude
+
+    def open_(view):
+        return view.server_id not in exclude
+
+    def cold(view):
+        return not view.leaving and view.server_id not in exclude
+
+    for servers, usable in ((pool, healthy), (pool, open_), (closed, cold)):
+        if len(servers):
+            choice = policy.pick(fleet, servers, usable, demand, now, rng)
+            if choice is not None:
+                return Success(choice)
+    return Failure(_refusal(demand, pool, closed))
+
+
+def _refusal(demand, pool, closed):
+    wanted = f"service {demand.service!r}, model {demand.model!r}"
+    if len(pool):
+        return _not_run("all-tried", f"every server for {wanted} was tried")
+    if len(closed):
+        return _not_run("all-leaving", f"every server for {wanted} is leaving")
+    return _not_run("no-server", f"no server has announced {wanted}")
+
+
+def _not_run(reason, detail):
+    return Refusal(Verdict.NOT_RUN, UNAVAILABLE, reason, detail, NO_SERVER_RETRY_S)
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/prefix.py
@@ -0,0 +1,114 @@
+"""Which servers are believed to hold which prompt prefixes."""
+
+from collections import OrderedDict
+
+__all__ = ["PrefixIndex"]
+
+MAX_DIGESTS = 50_000
+MAX_HOLDERS = 8
+ENOUGH_HOLDERS = 4
+
+
+class PrefixIndex:
+    """
+    Which servers are believed to hold which prompt prefixes.
+
+    Cache events arrive late and with gaps, so that the index is a belief and
+    never a promise: a wrong entry costs one prefill and is dropped when the
+    server's answer shows it.
+
+    Parameters
+    ----------
+    max_digests : int
+        Digests kept; the least recently used go first.
+    max_holders : int
+        Servers kept for each digest; the oldest go first.
+    """
+
+    __slots__ = ("max_digests", "max_holders", "_holders", "_generations")
+
+    def __init__(self, max_digests=MAX_DIGESTS, max_holders=MAX_HOLDERS):
+        self.max_digests = max_digests
+        self.max_holders = max_holders
+        self._holders = OrderedDict()
+        self._generations = {}
+
+    def __len__(self):
+        return len(self._holders)
+
+    def stored(self, server_id, digests):
+        """
+        Note that a server holds prefixes.
+
+        Parameters
+        ----------
+        server_id : str
+        digests : iterable of int
+        """
+        generation = self._generations.get(server_id, 0)
+        for digest in digests:
+            holders = self._holders.get(digest)
+            if holders is None:
+                self._holders[digest] = {server_id: generation}
+                continue
+            self._holders.move_to_end(digest)
+            holders.pop(server_id, None)
+            holders[server_id] = generation
+            if len(holders) > self.max_holders:
+                del holders[next(iter(holders))]
+        while len(self._holders) > self.max_digests:
+            self._holders.popitem(last=False)
+
+    def evicted(self, server_id, digests):
+        """
+        Note that a server no longer holds prefixes.
+
+        Parameters
+        ----------
+        server_id : str
+        digests : iterable of int
+        """
+        for digest in digests:
+            holders = self._holders.get(digest)
+            if holders is not None:
+                holders.pop(server_id, None)
+                if not holders:
+                    del self._holders[digest]
+
+    def forget(self, server_id):
+        """
+        Drop all that is believed of a server, in constant time.
+
+        Parameters
+        ----------
+        server_id : str
+        """
+        self._generations[server_id] = self._generations.get(server_id, 0) + 1
+
+    def matches(self, digests):
+        """
+        Find the servers that hold the longest prefixes.
+
+        Parameters
+        ----------
+        digests : sequence of int
+            Digests of a prompt, shortest prefix first.
+
+        Returns
+        -------
+        dict of str to int
+            Blocks held, by server.
+        """
+        found = {}
+        for blocks in range(len(digests), 0, -1):
+            for server_id, generation in self._holders.get(
+                digests[blocks - 1], {}
+            ).items():
+                if (
+                    server_id not in found
+                    and self._generations.get(server_id, 0) == generation
+                ):
+                    found[server_id] = blocks
+            if len(found) >= ENOUGH_HOLDERS:
+                break
+        return found
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
@@ -0,0 +1,156 @@
+from random import Random
+
+import pytest
+from returns.pipeline import is_successful
+
+from gooseberryyoke.balance import POLICIES, Demand, Fleet, LoadReport, choose
+from gooseberryyoke.outcome import Verdict
+
+NOW = 100.0
+DEMAND = Demand("drafter", "writer", prompt_tokens=640, expected_tokens=100)
+
+
+def make_fleet(count=4, **announced):
+    fleet = Fleet("a")
+    for number in range(count):
+        fleet.announced(f"s{number}", 1, "a", "drafter", ["writer"], **announced)
+        fleet.reported(f"s{number}", make_report(1), NOW)
+    return fleet
+
+
+def make_report(sequence, running=8, queued=0, step_s=0.03, age_s=0.0):
+    return LoadReport(sequence, age_s, running, queued, batch_slots=32, step_s=step_s)
+
+
+def pick(fleet, demand=DEMAND, now=NOW, exclude=()):
+    return choose(fleet, demand, now, Random(1), exclude).unwrap().server_id
+
+
+def refused(fleet, demand=DEMAND, exclude=()):
+    return choose(fleet, demand, NOW, Random(1), exclude).failure()
+
+
+@pytest.mark.parametrize("name", sorted(POLICIES))
+def test_each_policy_picks_an_open_server(name):
+    fleet = make_fleet()
+    fleet.announced("s0", 1, "a", "drafter", ["writer"], leaving=True)
+    for seed in range(50):
+        result = choose(fleet, DEMAND, NOW, Random(seed), ("s1",), POLICIES[name])
+        assert result.unwrap().server_id in {"s2", "s3"}
+
+
+def test_full_server_is_avoided():
+    fleet = make_fleet(2)
+    fleet.reported("s0", make_report(2, running=32, queued=10), NOW)
+    assert pick(fleet) == "s1"
+
+
+def test_straggler_is_avoided():
+    fleet = make_fleet(2)
+    fleet.reported("s0", make_report(2, running=4, step_s=0.09), NOW)
+    assert pick(fleet) == "s1"
+
+
+def test_own_dispatches_count_until_a_report_covers_them():
+    fleet = make_fleet(1)
+    for attempt in range(5):
+        fleet.dispatched("s0", attempt, DEMAND, NOW + 1)
+    view = fleet.get("s0")
+    assert view.pending() == 8 + 5
+    fleet.reported("s0", make_report(2, running=13, age_s=0.5), NOW + 2)
+    assert view.pending() == 13
+    fleet.finished("s0", 0, NOW + 3)
+    assert view.pending() == 12
+
+
+def test_older_report_that_comes_late_is_dropped():
+    fleet = make_fleet(1)
+    assert fleet.reported("s0", make_report(3, running=20), NOW)
+    assert not fleet.reported("s0", make_report(2, running=1), NOW + 1)
+    assert fleet.get("s0").report.running == 20
+
+
+def test_holder_of_the_prefix_is_preferred():
+    fleet = make_fleet()
+    demand = DEMAND.replace(prefix_digests=tuple(range(10)))
+    fleet.prefixes.stored("s2", range(10))
+    assert pick(fleet, demand) == "s2"
+
+
+def test_new_incarnation_starts_without_queue_and_cache():
+    fleet = make_fleet(1)
+    fleet.prefixes.stored("s0", range(10))
+    fleet.dispatched("s0", "x", DEMAND, NOW)
+    fleet.announced("s0", 2, "a", "drafter", ["writer"])
+    assert fleet.get("s0").pending() == 0
+    assert fleet.prefixes.matches(range(10)) == {}
+    fleet.finished("s0", "x", NOW + 1)
+    assert fleet.get("s0").pending() == 0
+
+
+def test_cold_server_serves_only_when_no_other_can():
+    fleet = make_fleet(2)
+    fleet.announced("s1", 1, "a", "drafter", ["writer"], cold=True)
+    assert {pick(fleet, now=NOW + n) for n in range(20)} == {"s0"}
+    assert pick(fleet, exclude=("s0",)) == "s1"
+
+
+def test_refusals_name_their_reason():
+    fleet = make_fleet(2)
+    assert refused(fleet, DEMAND.replace(model="other")).reason == "no-server"
+    assert refused(fleet, exclude=("s0", "s1")).reason == "all-tried"
+
+
+def test_all_servers_leaving():
+    """
+    The caller is told at once that the request has not run.
+
+    All servers announce or refuse as leaving. None may get new work, even
+    though each could still answer, as the stop would cut it.
+    """
+    fleet = make_fleet(2, leaving=True)
+    refusal = refused(fleet)
+    assert refusal.reason == "all-leaving"
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert refusal.retry_after_s > 0
+
+
+def test_refusal_of_a_leaving_server_counts_before_its_announcement():
+    fleet = make_fleet(2)
+    fleet.left("s0")
+    assert {pick(fleet, now=NOW + n) for n in range(20)} == {"s1"}
+
+
+def test_all_reports_stale():
+    """
+    Requests are still spread when reports have stopped coming.
+
+    The newest reports are a minute old and favour one server. Following them
+    would send all work there; own requests in flight are what is left to go by.
+    """
+    fleet = make_fleet(4)
+    for number in range(1, 4):
+        fleet.reported(f"s{number}", make_report(2, running=32, queued=50), NOW)
+    now = NOW + 60
+    rng = Random(5)
+    for attempt in range(400):
+        choice = choose(fleet, DEMAND, now, rng).unwrap()
+        fleet.dispatched(choice.server_id, attempt, DEMAND, now)
+    counts = [len(view.in_flight) for view in fleet]
+    assert min(counts) > 60
+
+
+def test_server_that_fails_at_once_does_not_draw_all_requests():
+    """
+    One server refuses connections at once and so is never loaded.
+
+    Without shunning it would look like the best choice for each request, and
+    each would fail. It is tried again after a pause.
+    """
+    fleet = make_fleet(2)
+    fleet.reported("s1", make_report(2, running=30), NOW)
+    fleet.dispatched("s0", "x", DEMAND, NOW)
+    fleet.failed("s0", "x", NOW)
+    assert pick(fleet) == "s1"
+    assert pick(fleet, now=NOW + 1) == "s0"
+    assert is_successful(choose(fleet, DEMAND, NOW, Random(1), ("s1",)))
