Read bundles from YAML with every mistake named by path and line

Cause: operators state everything in one document, and a mistake found one at a time, without its line, costs a roll per mistake on race morning.

Ruled out: YAML 1.1 resolution of plain scalars (22:00 becomes 1320, no becomes false), so fields read the text as written; aliases (one inside its own anchor never ends); order of declaration as the rule between classes, as the digest doesn't keep the order of keys; a digest over defaults too, as two releases would then give one text two digests.

Change: gooseberryyoke.document (fields, sections, report), gooseberryyoke.bundle (accounts, classes, patience by local hour, consistency checks, canonical digest, envelope), Ed25519 signatures in a module that the package doesn't import, and the bundles of the two example deployments.

--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/__init__.py
@@ -0,0 +1,49 @@
+"""Bundles: what operators state, checked as a whole, under one version."""
+
+from gooseberryyoke.bundle.account import Account, key_hash
+from gooseberryyoke.bundle.bundle import Bundle
+from gooseberryyoke.bundle.envelope import Envelope, Signature
+from gooseberryyoke.bundle.exceptions import UnusableKeyError
+from gooseberryyoke.bundle.patience import Patience, PatienceWindow
+from gooseberryyoke.bundle.provision import (
+    Durable,
+    Placement,
+    Replica,
+    RetryLimits,
+    Stop,
+)
+from gooseberryyoke.bundle.reader import (
+    bundle_content,
+    open_envelope,
+    parse_bundle,
+    seal,
+)
+from gooseberryyoke.bundle.recognition import Recognition, canonical_path
+from gooseberryyoke.bundle.request_class import RequestClass
+from gooseberryyoke.bundle.service import ENGINE, PLAIN, Service
+
+__all__ = [
+    "ENGINE",
+    "PLAIN",
+    "Account",
+    "Bundle",
+    "Durable",
+    "Envelope",
+    "UnusableKeyError",
+    "Patience",
+    "PatienceWindow",
+    "Placement",
+    "Recognition",
+    "Replica",
+    "RequestClass",
+    "RetryLimits",
+    "Service",
+    "Signature",
+    "Stop",
+    "bundle_content",
+    "canonical_path",
+    "key_hash",
+    "open_envelope",
+    "parse_bundle",
+    "seal",
+]
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/__init__.py
@@ -0,0 +1,34 @@
+"""YAML documents checked as a whole, with each mistake named by path and line."""
+
+from gooseberryyoke.document.address import AddressField
+from gooseberryyoke.document.collection import ListOf, MapOf
+from gooseberryyoke.document.field import INVALID, Field, field_kinds, register
+from gooseberryyoke.document.mistake import Mistake
+from gooseberryyoke.document.reader import check_document
+from gooseberryyoke.document.report import Report
+from gooseberryyoke.document.scalar import Choice, Flag, Integer, Number, Text
+from gooseberryyoke.document.section import REQUIRED, Key, Section
+from gooseberryyoke.document.time import TimeOfDay, TimeZone
+
+__all__ = [
+    "INVALID",
+    "REQUIRED",
+    "AddressField",
+    "Choice",
+    "Field",
+    "Flag",
+    "Integer",
+    "Key",
+    "ListOf",
+    "MapOf",
+    "Mistake",
+    "Number",
+    "Report",
+    "Section",
+    "Text",
+    "TimeOfDay",
+    "TimeZone",
+    "check_document",
+    "field_kinds",
+    "register",
+]
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/reader.py
@@ -0,0 +1,124 @@
+"""Reading of YAML text into nodes with positions, and the check of a whole document."""
+
+from returns.result import Failure, Success
+from yaml import MappingNode, SequenceNode, compose
+from yaml.error import MarkedYAMLError
+from yaml.reader import ReaderError
+
+from gooseberryyoke.document.field import INVALID
+from gooseberryyoke.document.report import Report
+
+try:
+    from yaml import CSafeLoader as SafeLoader
+except ImportError:
+    from yaml import SafeLoader
+
+__all__ = ["MOST_CHARACTERS", "check_document"]
+
+MOST_CHARACTERS = 16 * 1024 * 1024
+
+
+def check_document(text, field, *cross_checks):
+    """
+    Check a YAML document as a whole.
+
+    Parameters
+    ----------
+    text : str
+        The document.
+    field : Field
+        Checks the root, usually a `Section`.
+    *cross_checks : callable
+        Called with the value and the `Report` once all fields are right; for what
+        involves several parts of the document.
+
+    Returns
+    -------
+    returns.result.Result
+        ``Success`` of the value, or ``Failure`` of a list of all `Mistake` found.
+
+    Examples
+    --------
+    >>> from gooseberryyoke.document import Integer, Key, Section
+    >>> section = Section(dict, Key("port", Integer(1, 65535)))
+    >>> check_document("port: 80", section).unwrap()
+    {'port': 80}
+    >>> for mistake in check_document("prot: 80", section).failure():
+    ...     print(mistake)
+    prot: line 1: unknown key; did you mean port? expected one of port
+    port: line 1: is missing, expected a whole number from 1 to 65535
+    """
+    report = Report()
+    root = _compose(text, report)
+    if report.mistakes:
+        return Failure(report.mistakes)
+    value = field.check(root, "", report)
+    if value is not INVALID:
+        for cross_check in cross_checks:
+            cross_check(value, report)
+    if report.mistakes:
+        return Failure(report.in_order())
+    return Success(value)
+
+
+def _compose(text, report):
+    if len(text) > MOST_CHARACTERS:
+        message = f"found {len(text)} characters, expected at most {MOST_CHARACTERS}"
+        report.add("", message, 1)
+        return None
+    try:
+        root = compose(text, Loader=SafeLoader)
+    except MarkedYAMLError as exc:
+        _add_syntax_mistake(exc, report)
+        return None
+    except ReaderError as exc:
+        # libyaml's reader gives the code point, the Python one the character itself.
+        found = exc.character
+        _add_character_mistake(
+            chr(found) if isinstance(found, int) else found, text, report
+        )
+        return None
+    except UnicodeEncodeError as exc:
+        _add_character_mistake(text[exc.start], text, report)
+        return None
+    if root is None:
+        report.add("", "found nothing, expected a YAML document", 1)
+        return None
+    _refuse_aliases(root, report)
+    return root
+
+
+def _add_syntax_mistake(exc, report):
+    mark = exc.problem_mark or exc.context_mark
+    line = mark.line + 1 if mark else 1
+    report.add("", f"{exc.problem or exc.context}, expected valid YAML", line)
+
+
+def _add_character_mistake(character, text, report):
+    line = text.count("\n", 0, text.index(character)) + 1
+    message = f"found the character U+{ord(character):04X}, expected printable text"
+    report.add("", message, line)
+
+
+def _refuse_aliases(root, report):
+    # An alias makes one node stand in several places. One inside its own anchor would
+    # make the check run for ever, and nested ones make a small text expand without
+    # bound; a document whose nodes all stand in one place is no larger than its text.
+    seen = {id(root)}
+    waiting = [root]
+    while waiting:
+        for child in _children(waiting.pop()):
+            if id(child) in seen:
+                line = child.start_mark.line + 1
+                report.add("", "found an alias, expected the value written out", line)
+                return
+            seen.add(id(child))
+            waiting.append(child)
+
+
+def _children(node):
+    if isinstance(node, MappingNode):
+        return [child for pair in node.value for child in pair]
+    if isinstance(node, SequenceNode):
+        return node.value
+    return []
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/tests/test_document.py
@@ -0,0 +1,149 @@
+import pytest
+
+from gooseberryyoke.document import (
+    AddressField,
+    Choice,
+    Flag,
+    Integer,
+    Key,
+    ListOf,
+    MapOf,
+    Mistake,
+    Number,
+    Section,
+    Text,
+    TimeOfDay,
+    TimeZone,
+    check_document,
+    field_kinds,
+    register,
+)
+
+WINDOW = Section(
+    dict,
+    Key("from", TimeOfDay(), into="start"),
+    Key("until", TimeOfDay()),
+    Key("patience_s", Number(0.1, 3600)),
+)
+ROOT = Section(
+    dict,
+    Key("name", Text()),
+    Key("zone", TimeZone(), default="UTC"),
+    Key("kind", Choice("engine", "plain"), default="engine"),
+    Key("listen", AddressField(), default=None),
+    Key("on", Flag(), default=False),
+    Key("classes", MapOf(ListOf(WINDOW)), default=dict),
+    Key("count", Integer(1, 9), default=1),
+)
+
+
+def mistakes(text, field=ROOT):
+    return [str(mistake) for mistake in check_document(text, field).failure()]
+
+
+def test_values_are_read_as_written_not_as_yaml_1_1_resolves_them():
+    value = check_document(
+        "name: no\nclasses: {draw: [{from: 22:00, until: 06:30, patience_s: 5}]}", ROOT
+    ).unwrap()
+    assert value["name"] == "no"
+    assert value["classes"] == {
+        "draw": ({"start": 1320, "until": 390, "patience_s": 5.0},)
+    }
+    assert value["zone"] == "UTC"
+
+
+def test_every_mistake_is_named_by_path_and_line(snapshot):
+    text = """\
+nam: x
+zone: Europe/Rga
+kind: engines
+listen: localhost:80
+on: yes
+count: 10
+classes:
+  draw:
+    - {from: "22:00", until: "24:00", patience_s: 5}
+    - {from: "06:00", patience_s: many, prio: 1}
+  draw: []
+  "a b": {}
+"""
+    assert mistakes(text) == snapshot
+
+
+@pytest.mark.parametrize(
+    "field, text",
+    [
+        (Integer(0, 9), "010"),
+        (Integer(0, 9), "'5'"),
+        (Integer(0, 9), "1_0"),
+        (Number(0, 9), ".inf"),
+        (Number(0, 9), ".nan"),
+        (Number(0, 9), "9.5"),
+        (Text(), "~"),
+        (Text(), "[]"),
+        (Flag(), "True"),
+        (TimeOfDay(), "6:30"),
+        (TimeZone(), "../UTC"),
+        (TimeZone(), "/etc/localtime"),
+        (AddressField(), "10.0.0.300:80"),
+        (AddressField(), "10.0.0.3:70000"),
+        (AddressField(), "fd00::1:80"),
+        (ListOf(Flag(), least=1), "[]"),
+        (MapOf(Flag(), most=1), "{a: true, b: true}"),
+    ],
+)
+def test_a_value_outside_the_kind_is_refused(field, text):
+    (mistake,) = check_document(f"v: {text}", Section(dict, Key("v", field))).failure()
+    assert (mistake.path, mistake.line) == ("v", 1)
+    assert "expected" in mistake.message
+
+
+@pytest.mark.parametrize(
+    "text, line",
+    [
+        ("name: a\n b: 2", 2),
+        ("name: a\n--- \nname: b", 2),
+        ("name: a\nzone: \x00", 2),
+        ("name: ā\nzone: \ud800", 2),
+        ("", 1),
+        ("[" * 5000, 1),
+    ],
+)
+def test_text_that_is_not_one_yaml_document_is_refused(text, line):
+    (mistake,) = check_document(text, ROOT).failure()
+    assert (mistake.path, mistake.line) == ("", line)
+
+
+def test_aliases_are_refused():
+    """
+    A document of a few hundred bytes takes the process down when it is checked.
+
+    Nested aliases (each list names the one before it ten times) expand to billions
+    of nodes, and an alias inside its own anchor never ends.
+    """
+    assert "alias" in mistakes("name: &a [*a]")[0]
+    lines = ["a0: &a0 [x]"]
+    lines += [f"a{n}: &a{n} [{', '.join([f'*a{n - 1}'] * 10)}]" for n in range(1, 12)]
+    assert "alias" in mistakes("\n".join(lines))[0]
+
+
+def test_cross_checks_run_on_right_fields_only():
+    def refuse(value, report):
+        report.add("classes.draw[0].until", f"found {value['name']!r}, expected 'y'")
+
+    text = "name: x\nclasses:\n  draw:\n  - {from: 01:00, until: 02:00, patience_s: 1}"
+    assert check_document(text, ROOT, refuse).failure() == [
+        Mistake("classes.draw[0].until", 4, "found 'x', expected 'y'")
+    ]
+    assert len(check_document("nam: x", ROOT, refuse).failure()) == 2
+
+
+def test_mistakes_survive_plain_data():
+    mistake = Mistake("a.b", 3, "found 1, expected 2")
+    assert Mistake.from_payload(mistake.to_payload()) == mistake
+
+
+def test_a_kind_is_registered_once():
+    assert field_kinds()["number"] is Number
+    with pytest.raises(ValueError, match="belongs to Number"):
+        register("number")(Flag)
