Add registers settled by a majority of replicas

Bundles, claims and leases need compare-and-set on state that survives lost disks, cuts and competing writers, without a leader whose isolation stops or splits the system.

One register per key, settled by ballots (CASPaxos kind): a proposer that does one operation as a state machine without I/O, and a replica's acceptor. A majority that agrees is read without a write. A write whose outcome is open says so. Deleted keys leave a tombstone that is dropped once every replica has accepted it; a floor refuses delayed messages and keeps version numbers growing. Each reply names the known holder of every seat, so that the votes of a replaced folder are not counted.

Ruled out: plain version numbers (a writer frozen since before a deletion would find its expectation true), counting copied cells as votes (a reader is shown a value that a higher ballot had outrun).

--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
@@ -0,0 +1,219 @@
+"""A replica's answers to proposers and to its peers."""
+
+from functools import singledispatchmethod
+from itertools import islice
+
+from gooseberryyoke.record import Record
+from gooseberryyoke.register.cell import Slot
+from gooseberryyoke.register.changes import (
+    PeerSeen,
+    SeatTaken,
+    SlotDropped,
+    SlotPromised,
+    SlotStored,
+)
+from gooseberryyoke.register.identity import Stamp
+from gooseberryyoke.register.messages import (
+    Accept,
+    Accepted,
+    Copy,
+    CopyPage,
+    Forget,
+    Forgotten,
+    Hello,
+    HelloReply,
+    KeyedSlot,
+    NotReady,
+    Prepare,
+    Promise,
+    Read,
+    ReadReply,
+    Rejected,
+    Scan,
+    ScanPage,
+)
+from gooseberryyoke.register.state import READY
+
+__all__ = ["Acceptor", "Answer"]
+
+_SERVED_BEFORE_READY = (Hello,)
+
+
+class Answer(Record):
+    """
+    A reply and the changes that must be synced before it leaves.
+
+    Parameters
+    ----------
+    reply : Record
+        To be sent once everything logged so far is synced, even if ``changes``
+        is empty.
+    changes : tuple of Record
+        Already applied to the state in memory.
+    """
+
+    __slots__ = ("reply", "changes")
+
+    def __init__(self, reply, changes=()):
+        self.reply = reply
+        self.changes = tuple(changes)
+
+
+class Acceptor:
+    """
+    State machine of one replica.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        As rebuilt from the data folder; with an identity.
+    """
+
+    __slots__ = ("state",)
+
+    def __init__(self, state):
+        self.state = state
+
+    def stamp(self):
+        """
+        Name this replica and its view of the others.
+
+        Returns
+        -------
+        Stamp
+        """
+        state = self.state
+        return Stamp(state.seat, state.incarnation, dict(state.roster))
+
+    def handle(self, message):
+        """
+        Answer one message.
+
+        Parameters
+        ----------
+        message : Record
+            One of the requests in `gooseberryyoke.register.messages`.
+
+        Returns
+        -------
+        Answer
+        """
+        ready = self.state.status == READY
+        if not ready and not isinstance(message, _SERVED_BEFORE_READY):
+            # An empty or copying replica that voted would let a majority forget.
+            return Answer(NotReady(self.stamp()))
+        answer = self._answer(message)
+        for change in answer.changes:
+            self.state.apply(change)
+        if answer.changes:
+            return Answer(self._restamped(answer.reply), answer.changes)
+        return answer
+
+    def _restamped(self, reply):
+        return reply.replace(sender=self.stamp())
+
+    @singledispatchmethod
+    def _answer(self, message):
+        raise TypeError(f"{message!r} is not a request to a replica")
+
+    @_answer.register
+    def _(self, message: Prepare):
+        slot = self.state.slot(message.key)
+        if message.ballot < slot.promised:
+            return Answer(Rejected(self.stamp(), message.ballot, slot.promised))
+        reply = Promise(
+            self.stamp(),
+            message.ballot,
+            slot.accepted,
+            slot.cell,
+            slot.copied,
+            self.state.floor,
+        )
+        if message.ballot == slot.promised:
+            return Answer(reply)
+        return Answer(reply, [SlotPromised(message.key, message.ballot)])
+
+    @_answer.register
+    def _(self, message: Accept):
+        slot = self.state.slot(message.key)
+        if message.ballot < slot.promised:
+            return Answer(Rejected(self.stamp(), message.ballot, slot.promised))
+        reply = Accepted(self.stamp(), message.ballot)
+        if message.ballot == slot.accepted and not slot.copied:
+            return Answer(reply)
+        stored = Slot(message.ballot, message.ballot, message.cell)
+        return Answer(reply, [SlotStored(message.key, stored)])
+
+    @_answer.register
+    def _(self, message: Read):
+        slot = self.state.slot(message.key)
+        return Answer(
+            ReadReply(
+                self.stamp(), message.nonce, slot.accepted, slot.cell, slot.copied
+            )
+        )
+
+    @_answer.register
+    def _(self, message: Forget):
+        slot = self.state.slots.get(message.key)
+        dropped = (
+            slot is not None
+            and slot.accepted == message.ballot
+            and slot.promised == message.ballot
+            and slot.cell.value is None
+        )
+        reply = Forgotten(self.stamp(), message.ballot, dropped)
+        if not dropped:
+            return Answer(reply)
+        floor = max(message.ballot.counter, slot.cell.version)
+        return Answer(reply, [SlotDropped(message.key, floor)])
+
+    @_answer.register
+    def _(self, message: Scan):
+        def wanted(key):
+            return key.startswith(message.prefix)
+
+        start = max(message.after, message.prefix)
+        keys = self.state.slots.irange(minimum=start)
+        found = []
+        for key in keys:
+            if key > message.prefix and not wanted(key):
+                break
+            if key > message.after and wanted(key):
+                found.append(key)
+            if len(found) > message.limit:
+                break
+        page, more = self._page(found, message.limit)
+        return Answer(ScanPage(self.stamp(), page, more))
+
+    @_answer.register
+    def _(self, message: Copy):
+        known = self.state.roster.get(message.seat)
+        if known is not None and known > message.incarnation:
+            return Answer(NotReady(self.stamp()))
+        after = message.after or None
+        keys = self.state.slots.irange(minimum=after, inclusive=(False, True))
+        page, more = self._page(list(islice(keys, message.limit + 1)), message.limit)
+        reply = CopyPage(self.stamp(), page, more, self.state.floor)
+        if known == message.incarnation:
+            return Answer(reply)
+        # From here on every reply names the new holder, so that no majority is
+        # counted with the predecessor's replies and a state copied before.
+        return Answer(reply, [SeatTaken(message.seat, message.incarnation)])
+
+    @_answer.register
+    def _(self, message: Hello):
+        seen_key = (message.seat, message.incarnation)
+        seen = self.state.seen.get(seen_key, 0)
+        reply = HelloReply(
+            self.stamp(), self.state.status, seen, dict(self.state.founders)
+        )
+        if message.fresh or message.position <= seen:
+            return Answer(reply)
+        change = PeerSeen(message.seat, message.incarnation, message.position)
+        return Answer(reply, [change])
+
+    def _page(self, keys, limit):
+        slots = self.state.slots
+        page = [KeyedSlot(key, slots[key]) for key in keys[:limit]]
+        return page, len(keys) > limit
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
@@ -0,0 +1,172 @@
+"""How a folder joins the replicas, and what it takes over from them."""
+
+from enum import Enum
+
+from gooseberryyoke.record import Record
+from gooseberryyoke.register.cell import EMPTY_SLOT, Slot
+from gooseberryyoke.register.identity import (
+    Incarnation,
+    largest_consistent,
+    majority,
+)
+from gooseberryyoke.register.state import FRESH, READY
+
+__all__ = [
+    "Admission",
+    "Judgement",
+    "judge_fresh",
+    "judge_kept",
+    "merge_slot",
+    "next_incarnation",
+]
+
+
+class Admission(Enum):
+    """What a starting replica may do."""
+
+    WAIT = "wait"
+    SERVE = "serve"
+    FOUND = "found"
+    COPY = "copy"
+    RENEW = "renew"
+
+
+class Judgement(Record):
+    """
+    What a starting replica may do, and with whom.
+
+    Parameters
+    ----------
+    admission : Admission
+        ``RENEW`` means that the folder must take a new identity.
+    founders : dict of str to Incarnation
+        For ``FOUND``.
+    sources : tuple of str
+        For ``COPY``: seats of ready peers, at least a majority of all seats.
+    """
+
+    __slots__ = ("admission", "founders", "sources")
+
+    def __init__(self, admission, founders=None, sources=()):
+        self.admission = admission
+        self.founders = founders or {}
+        self.sources = tuple(sources)
+
+
+def judge_kept(state, position, size, replies):
+    """
+    Judge a folder that has been part of a majority before.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        As rebuilt from the folder.
+    position : int
+        Count of records in the folder.
+    size : int
+        Number of seats.
+    replies : list of HelloReply
+        From the other seats.
+
+    Returns
+    -------
+    Judgement
+        ``SERVE``, ``RENEW`` or ``WAIT``.
+    """
+    if _replaced(state, replies):
+        return Judgement(Admission.RENEW)
+    # A folder put back from an older copy has lost what it acknowledged since:
+    # it would vote for a state without it. Its peers remember how far it was.
+    if any(reply.seen_position > position for reply in replies):
+        return Judgement(Admission.RENEW)
+    if len(replies) + 1 >= majority(size):
+        return Judgement(Admission.SERVE)
+    return Judgement(Admission.WAIT)
+
+
+def judge_fresh(state, size, replies, may_found):
+    """
+    Judge a folder that has never been part of a majority.
+
+    Parameters
+    ----------
+    state : ReplicaState
+        With an identity, nothing else.
+    size : int
+        Number of seats.
+    replies : list of HelloReply
+        From the other seats, the latest of each.
+    may_found : bool
+        The settings allow to begin with an empty state.
+
+    Returns
+    -------
+    Judgement
+        ``FOUND``, ``COPY``, ``RENEW`` or ``WAIT``.
+    """
+    if _replaced(state, replies):
+        return Judgement(Admission.RENEW)
+    for reply in replies:
+        if reply.founders.get(state.seat) == state.incarnation:
+            return Judgement(Admission.FOUND, founders=reply.founders)
+    ready = [reply for reply in largest_consistent(replies) if reply.state == READY]
+    # With a majority of the others, each settled value is seen at least once:
+    # the lost folder held at most one of the votes that settled it.
+    if len(ready) >= majority(size):
+        return Judgement(Admission.COPY, sources=[r.sender.seat for r in ready])
+    fresh = [reply for reply in replies if reply.state == FRESH]
+    if may_found and len(fresh) == size - 1:
+        founders = {r.sender.seat: r.sender.incarnation for r in fresh}
+        founders[state.seat] = state.incarnation
+        return Judgement(Admission.FOUND, founders=founders)
+    return Judgement(Admission.WAIT)
+
+
+def _replaced(state, replies):
+    known = [reply.sender.roster.get(state.seat) for reply in replies]
+    return any(inc is not None and inc > state.incarnation for inc in known)
+
+
+def next_incarnation(seat, replies, rng):
+    """
+    Make an identity above every one known for a seat.
+
+    Parameters
+    ----------
+    seat : str
+        The seat to be held.
+    replies : list of HelloReply
+        From the other seats; may be empty.
+    rng : random.Random
+        Source of the nonce.
+
+    Returns
+    -------
+    Incarnation
+    """
+    known = [reply.sender.roster.get(seat) for reply in replies]
+    highest = max((inc.generation for inc in known if inc is not None), default=0)
+    return Incarnation(highest + 1, f"{rng.getrandbits(64):016x}")
+
+
+def merge_slot(mine, theirs):
+    """
+    Take over another replica's slot of a key.
+
+    Parameters
+    ----------
+    mine : Slot or None
+        What has been copied of the key so far.
+    theirs : Slot
+        From one more replica.
+
+    Returns
+    -------
+    Slot
+        Highest promise and highest accepted cell; marked as copied.
+    """
+    mine = mine or EMPTY_SLOT
+    newer = theirs if theirs.accepted > mine.accepted else mine
+    return Slot(
+        max(mine.promised, theirs.promised), newer.accepted, newer.cell, copied=True
+    )
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
@@ -0,0 +1,176 @@
+"""A replica's state, built from the changes in its log."""
+
+from functools import singledispatchmethod
+
+from sortedcontainers import SortedDict
+
+from gooseberryyoke.register.ballot import NO_BALLOT, Ballot
+from gooseberryyoke.register.cell import ABSENT, EMPTY_SLOT, Slot
+from gooseberryyoke.register.changes import (
+    FloorRaised,
+    Founded,
+    Identified,
+    Joined,
+    PeerSeen,
+    SeatTaken,
+    SlotDropped,
+    SlotPromised,
+    SlotStored,
+)
+
+__all__ = ["COPYING", "FRESH", "READY", "ReplicaState"]
+
+FRESH = "fresh"
+COPYING = "copying"
+READY = "ready"
+
+
+class ReplicaState:
+    """
+    State of one replica; changed only by `apply`.
+
+    Attributes
+    ----------
+    seat : str or None
+        Configured name; None before the folder has an identity.
+    incarnation : Incarnation or None
+        Identity of the folder.
+    status : str
+        ``FRESH``, ``COPYING`` or ``READY``.
+    founders : dict of str to Incarnation
+        Identities that began with an empty state together.
+    roster : dict of str to Incarnation
+        The highest identity known of each seat.
+    seen : dict
+        Position told by each (seat, incarnation).
+    floor : int
+        Highest ballot counter or version among dropped tombstones.
+    slots : SortedDict of str to Slot
+        State of each register.
+    """
+
+    __slots__ = (
+        "seat",
+        "incarnation",
+        "status",
+        "founders",
+        "roster",
+        "seen",
+        "floor",
+        "slots",
+    )
+
+    def __init__(self):
+        self.seat = None
+        self.incarnation = None
+        self.status = FRESH
+        self.founders = {}
+        self.roster = {}
+        self.seen = {}
+        self.floor = 0
+        self.slots = SortedDict()
+
+    def slot(self, key):
+        """
+        Get a key's slot, or what stands for a key without one.
+
+        Parameters
+        ----------
+        key : str
+            The register.
+
+        Returns
+        -------
+        Slot
+        """
+        found = self.slots.get(key)
+        if found is not None:
+            return found
+        if self.floor == 0:
+            return EMPTY_SLOT
+        # A dropped tombstone no longer refuses a delayed Accept of an older
+        # value, which would come back from the dead. The floor is at least the
+        # tombstone's ballot, and "\uffff" sorts after each proposer's name.
+        return Slot(Ballot(self.floor, "\uffff"), NO_BALLOT, ABSENT)
+
+    @singledispatchmethod
+    def apply(self, change):
+        """
+        Take over one change.
+
+        Parameters
+        ----------
+        change : Record
+            One of the classes in `gooseberryyoke.register.changes`.
+        """
+        raise TypeError(f"{change!r} is not a change of a replica's state")
+
+    @apply.register
+    def _(self, change: SlotPromised):
+        self.slots[change.key] = self.slot(change.key).replace(promised=change.ballot)
+
+    @apply.register
+    def _(self, change: SlotStored):
+        self.slots[change.key] = change.slot
+
+    @apply.register
+    def _(self, change: SlotDropped):
+        self.slots.pop(change.key, None)
+        self.floor = max(self.floor, change.floor)
+
+    @apply.register
+    def _(self, change: FloorRaised):
+        self.floor = max(self.floor, change.floor)
+
+    @apply.register
+    def _(self, change: Identified):
+        self.seat = change.seat
+        self.incarnation = change.incarnation
+        self.roster[change.seat] = change.incarnation
+
+    @apply.register
+    def _(self, change: Founded):
+        self.founders = dict(change.founders)
+        self.status = READY
+        for seat, incarnation in self.founders.items():
+            self._seat(seat, incarnation)
+
+    @apply.register
+    def _(self, change: Joined):
+        self.status = READY
+
+    @apply.register
+    def _(self, change: SeatTaken):
+        self._seat(change.seat, change.incarnation)
+
+    @apply.register
+    def _(self, change: PeerSeen):
+        self.seen[change.seat, change.incarnation] = change.position
+
+    def _seat(self, seat, incarnation):
+        known = self.roster.get(seat)
+        if known is None or incarnation > known:
+            self.roster[seat] = incarnation
+            self.seen = {key: at for key, at in self.seen.items() if key[0] != seat}
+
+    def dump(self):
+        """
+        List the changes that rebuild this state.
+
+        Returns
+        -------
+        list of Record
+            A snapshot; independent of later changes.
+        """
+        changes = []
+        if self.incarnation is not None:
+            changes.append(Identified(self.seat, self.incarnation))
+        if self.founders:
+            changes.append(Founded(dict(self.founders)))
+        changes += [SeatTaken(seat, inc) for seat, inc in self.roster.items()]
+        changes += [PeerSeen(*key, at) for key, at in self.seen.items()]
+        changes.append(FloorRaised(self.floor))
+        changes += [SlotStored(key, slot) for key, slot in self.slots.items()]
+        if self.status == READY:
+            changes.append(Joined())
+        return changes
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
@@ -0,0 +1,55 @@
+import orjson
+import pytest
+
+from gooseberryyoke.register import (
+    Ballot,
+    Cell,
+    Incarnation,
+    Slot,
+    Stamp,
+    UndecodableRecord,
+    changes,
+    decode,
+    encode,
+    messages,
+)
+
+BALLOT = Ballot(7, "p-1")
+CELL = Cell(7, {"list": [["Prepare", "x", 1]], "text": "ä"}, "p-1", 3)
+SLOT = Slot(BALLOT, BALLOT, CELL, True)
+INCARNATION = Incarnation(2, "ab")
+STAMP = Stamp("r1", INCARNATION, {"r1": INCARNATION})
+SAMPLES = {
+    "key": "k",
+    "ballot": BALLOT,
+    "promised": BALLOT,
+    "accepted": BALLOT,
+    "cell": CELL,
+    "slot": SLOT,
+    "slots": [messages.KeyedSlot("k", SLOT)],
+    "sender": STAMP,
+    "incarnation": INCARNATION,
+    "founders": {"r1": INCARNATION},
+    "seat": "r1",
+    "nonce": "n",
+}
+TYPES = [
+    getattr(module, name)
+    for module in (changes, messages)
+    for name in module.__all__
+    if name != "KeyedSlot"
+]
+
+
+@pytest.mark.parametrize("cls", TYPES, ids=lambda cls: cls.__name__)
+def test_record_survives_json(cls):
+    record = cls(**{name: SAMPLES.get(name, 5) for name in cls.__slots__})
+    assert decode(orjson.loads(orjson.dumps(encode(record)))) == record
+
+
+@pytest.mark.parametrize(
+    "packed", [None, [], ["Nothing"], ["Prepare", "k"], ["Prepare", "k", 3], {}]
+)
+def test_anything_else_is_refused(packed):
+    with pytest.raises(UndecodableRecord):
+        decode(packed)
