--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/claim/exceptions.py
@@ -0,0 +1,7 @@
+"""Exceptions of claims."""
+
+__all__ = ["UnreadableClaim"]
+
+
+class UnreadableClaim(ValueError):
+    """A register holds something else than a claim."""
