Carry requests from entry to agent to backend server

Cause: the parts had no path between them. Ruled out: sending an order again when its answer is lost (it may run twice); letting the agent bar an attempt of any age (a forgotten attempt that has run would look like one that never did, so bars are bounded by the order's age and orders by their own); cancelling by closing the connection to the agent (a lost connection would cancel work that a resume could still save).

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -0,0 +1,124 @@
+"""The agent's parts, wired, and its life from start to stop."""
+
+from trio import TASK_STATUS_IGNORED, move_on_after, open_nursery, sleep
+
+from gooseberryyoke.membership import ServerAnnouncement, new_incarnation
+from gooseberryyoke_daemon.agent.reporter import Reporter
+from gooseberryyoke_daemon.agent.routes import AgentRoutes
+from gooseberryyoke_daemon.agent.runner import Runner
+from gooseberryyoke_daemon.agent.table import AttemptTable
+from gooseberryyoke_daemon.announcer import Announcer
+from gooseberryyoke_daemon.logs import log_event
+
+__all__ = ["AgentNode"]
+
+ANNOUNCE_PATH = "/internal/announcements/server"
+_MAX_RUNNING = 512
+_ANSWER_BYTES = 8 * 1024 * 1024
+_HEAD_TIMEOUT_S = 120.0
+_SWEEP_S = 1.0
+_INTEREST_PATIENCE_S = 3.0
+_ORPHAN_PATIENCE_S = 15.0
+
+
+class AgentNode:
+    """
+    One agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+        Of this role.
+    process : Process
+        What all roles of the process share.
+    """
+
+    def __init__(self, settings, process):
+        self._settings = settings
+        self._process = process
+        self._clock = process.clock
+        self._stopping = False
+        self.incarnation = new_incarnation(process.clock.wall(), process.rng)
+        self._table = None
+        self._reporter = Reporter(
+            process.plain_client,
+            settings.server,
+            settings.load_path,
+            settings.report_interval_s,
+            self._clock,
+        )
+        self._announcer = Announcer(
+            process.signed_client,
+            settings.entries,
+            ANNOUNCE_PATH,
+            settings.announce_interval_s,
+            self._announcement,
+            self._heard_interest,
+        )
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """
+        Run until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told the routes for the internal port.
+        """
+        settings = self._settings
+        runner = Runner(
+            self._process.plain_client, settings.server, _HEAD_TIMEOUT_S, _ANSWER_BYTES
+        )
+        async with open_nursery() as nursery:
+            self._table = AttemptTable(
+                self.incarnation, runner, nursery, self._clock, _MAX_RUNNING
+            )
+            task_status.started([AgentRoutes(self._table, settings.heartbeat_s)])
+            nursery.start_soon(self._reporter.run, self._server_changed)
+            nursery.start_soon(self._announcer.run)
+            nursery.start_soon(self._sweep)
+
+    async def leave(self):
+        """
+        Stop without cutting work.
+
+        New attempts are refused from now on. Returns once all that had been taken
+        has been answered and read, or its reader is gone.
+        """
+        log_event("agent-leaving", running=len(self._table.running))
+        self._stopping = True
+        self._server_changed()
+        await self._table.emptied()
+        with move_on_after(self._settings.linger_s):
+            await self._table.all_read()
+
+    def _server_changed(self):
+        self._table.leaving = self._stopping or self._reporter.leaving
+        self._announcer.notify()
+
+    def _announcement(self, sequence):
+        settings = self._settings
+        unusable = self._table.leaving or not self._reporter.reachable
+        return ServerAnnouncement(
+            settings.server_name,
+            self.incarnation,
+            sequence,
+            self._process.data_centre,
+            settings.service,
+            list(settings.models),
+            str(self._process.internal_address),
+            unusable,
+            self._reporter.report,
+            self._reporter.age_s,
+        )
+
+    def _heard_interest(self, payload):
+        self._table.heard_interest(
+            payload["entry"], payload["attempts"], _INTEREST_PATIENCE_S
+        )
+
+    async def _sweep(self):
+        while True:
+            await sleep(_SWEEP_S)
+            self._table.cancel_orphans(_ORPHAN_PATIENCE_S)
+            self._table.forget()
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
@@ -0,0 +1,83 @@
+"""Asks the backend server for its load, so that announcements can carry it."""
+
+from trio import sleep
+
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import WireError
+
+__all__ = ["Reporter"]
+
+_OK = 200
+
+
+class Reporter:
+    """
+    Keeps the latest load report of a backend server.
+
+    Parameters
+    ----------
+    client : HttpClient
+    address : Address
+        Of the backend server.
+    path : str
+        Where it reports load.
+    interval_s : float
+        Between two requests, in seconds.
+    clock : Clock
+
+    Attributes
+    ----------
+    report : dict
+        The latest report, empty before the first.
+    leaving : bool
+        Whether the server has said that it takes no new work.
+    """
+
+    def __init__(self, client, address, path, interval_s, clock):
+        self.report = {}
+        self.leaving = False
+        self.reachable = False
+        self._client = client
+        self._address = address
+        self._path = path
+        self._interval_s = interval_s
+        self._clock = clock
+        self._taken_s = clock.now()
+
+    @property
+    def age_s(self):
+        """Age of the report, in seconds."""
+        return self._clock.now() - self._taken_s
+
+    async def run(self, on_change):
+        """
+        Poll until cancelled.
+
+        Parameters
+        ----------
+        on_change : callable
+            Called when the server starts or stops taking new work.
+        """
+        while True:
+            before = (self.reachable, self.leaving)
+            await self._poll()
+            if (self.reachable, self.leaving) != before:
+                log_event(
+                    "server-state", reachable=self.reachable, leaving=self.leaving
+                )
+                on_change()
+            await sleep(self._interval_s)
+
+    async def _poll(self):
+        try:
+            reply = await self._client.json(
+                "GET", self._address, self._path, timeout_s=self._interval_s * 4
+            )
+        except WireError:
+            self.reachable = False
+            return
+        self.reachable = reply.status == _OK and isinstance(reply.payload, dict)
+        if self.reachable:
+            self.report = reply.payload
+            self.leaving = bool(reply.payload.get("leaving", False))
+            self._taken_s = self._clock.now()
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -0,0 +1,96 @@
+"""Runs an attempt at the backend server and writes its answer into the log."""
+
+from h11 import RemoteProtocolError
+from trio import move_on_after
+
+from gooseberryyoke.outcome import Verdict
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import WireError
+
+__all__ = ["Runner"]
+
+_HOP_HEADERS = frozenset(
+    ["connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"]
+)
+
+
+class Runner:
+    """
+    Carries attempts to one backend server.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the exchanges.
+    address : Address
+        Of the backend server.
+    head_timeout_s : float
+        How long the server may take until the head of its answer, in seconds.
+        It bounds work that can't be cancelled because it may not be repeated.
+    answer_bytes : int
+        Largest answer that is kept.
+    """
+
+    def __init__(self, client, address, head_timeout_s, answer_bytes):
+        self._client = client
+        self._address = address
+        self._head_timeout_s = head_timeout_s
+        self._answer_bytes = answer_bytes
+
+    async def run(self, attempt):
+        """
+        Run one attempt to its end or abort.
+
+        Parameters
+        ----------
+        attempt : Attempt
+            Its log is written, its scope cancels the work.
+
+        Notes
+        -----
+        Work that may not be repeated goes on past the caller's deadline: cutting
+        it would leave nobody able to tell whether it ran, and the caller who asks
+        again gets the kept answer.
+        """
+        order = attempt.order
+        limit_s = order.budget_s if order.repeatable else self._head_timeout_s
+        with attempt.scope:
+            with move_on_after(limit_s) as timer:
+                await self._exchange(attempt)
+        if timer.cancelled_caught and not attempt.log.finished:
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "deadline", f"after {limit_s:g} s")
+        elif not attempt.log.finished:
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "cancelled", "nobody waits for it")
+        attempt.notify()
+        log_event(
+            "attempt-ended",
+            attempt=order.attempt,
+            end=type(attempt.log.last).__name__,
+            reason=getattr(attempt.log.last, "reason", ""),
+        )
+
+    async def _exchange(self, attempt):
+        try:
+            await self._relay(attempt)
+        except WireError as exc:
+            # A refused connection proves that the server never saw the request.
+            attempt.log.abort(exc.verdict, "server-failed", str(exc))
+        except RemoteProtocolError as exc:
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "server-cut", str(exc))
+
+    async def _relay(self, attempt):
+        request = attempt.order.request()
+        async with self._client.open(
+            self._address, request, timeout_s=self._head_timeout_s
+        ) as reply:
+            headers = [pair for pair in reply.headers if pair[0] not in _HOP_HEADERS]
+            attempt.log.head(reply.status, headers)
+            attempt.notify()
+            async for chunk in reply.chunks():
+                attempt.log.data(bytes(chunk))
+                attempt.notify()
+                if attempt.log.size_bytes > self._answer_bytes:
+                    detail = f"more than {self._answer_bytes} bytes"
+                    attempt.log.abort(Verdict.RAN, "answer-too-long", detail)
+                    return
+        attempt.log.end()
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -0,0 +1,281 @@
+"""Where an answer goes: whole, or piece by piece while it is produced."""
+
+from orjson import dumps
+from returns.result import Failure
+from trio import BrokenResourceError, Event, open_memory_channel
+from xxhash import xxh3_128
+
+from gooseberryyoke.outcome import Verdict
+from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.entry.exceptions import (
+    AnswerDiffers,
+    CallerGone,
+    StreamCut,
+)
+from gooseberryyoke_daemon.wire import VERDICT_HEADER, Response, problem_response
+
+__all__ = ["Answer", "Delivery", "verdict_of_status"]
+
+_CHUNKS_AHEAD = 64
+_SERVER_ERROR = 500
+_EVENT_STREAM = "text/event-stream"
+
+
+class Answer(Record):
+    """
+    A whole answer of a backend server.
+
+    Parameters
+    ----------
+    status : int
+    headers : tuple of (str, str)
+    body : bytes
+        Empty if the pieces have been passed on already.
+    verdict : Verdict
+    """
+
+    __slots__ = ("status", "headers", "body", "verdict")
+
+    def __init__(self, status, headers, body, verdict):
+        self.status = status
+        self.headers = tuple(tuple(pair) for pair in headers)
+        self.body = body
+        self.verdict = verdict
+
+
+class Delivery:
+    """
+    The answer to one request, on its way to the caller.
+
+    Parameters
+    ----------
+    on_close : callable
+        Called when the caller leaves before the end of a streamed answer.
+
+    Attributes
+    ----------
+    first_data_s, last_data_s : float or None
+        Monotonic times of the first and last piece of the body, in seconds.
+    pieces : int
+        Pieces of the body so far.
+
+    Notes
+    -----
+    A second attempt of a repeatable request produces its answer from the
+    beginning. What the caller has got already is skipped, and compared by its
+    digest: the two answers may differ, and a mixture of both would be neither.
+    """
+
+    __slots__ = (
+        "first_data_s",
+        "head",
+        "last_data_s",
+        "pieces",
+        "streaming",
+        "_body",
+        "_new_sum",
+        "_on_close",
+        "_ready",
+        "_receive",
+        "_response",
+        "_send",
+        "_sent_bytes",
+        "_skip_bytes",
+        "_sum",
+        "_whole",
+    )
+
+    def __init__(self, on_close=lambda: None):
+        self._on_close = on_close
+        self.first_data_s = None
+        self.last_data_s = None
+        self.pieces = 0
+        self.head = None
+        self.streaming = False
+        self._body = bytearray()
+        self._ready = Event()
+        self._response = None
+        self._send, self._receive = open_memory_channel(_CHUNKS_AHEAD)
+        self._sent_bytes = 0
+        self._skip_bytes = 0
+        self._sum = xxh3_128()
+        self._new_sum = None
+        self._whole = False
+
+    @property
+    def started(self):
+        """Whether the caller has got a part of the answer."""
+        return self._sent_bytes > 0
+
+    def begin_attempt(self, streaming):
+        """
+        Take the answer of a new attempt, from its beginning.
+
+        Parameters
+        ----------
+        streaming : bool
+            Whether to pass pieces on before the answer is whole.
+        """
+        self.streaming = streaming
+        self._body = bytearray()
+        self._skip_bytes = self._sent_bytes
+        self._new_sum = xxh3_128()
+
+    def set_head(self, head):
+        """Take status and headers, a `HeadFrame`."""
+        if self.started and head.status != self.head.status:
+            raise AnswerDiffers(f"status {head.status} after {self.head.status}")
+        self.head = head
+
+    async def data(self, data, now):
+        """
+        Take a piece of the body.
+
+        Parameters
+        ----------
+        data : bytes
+        now : float
+            Monotonic time, in seconds.
+
+        Raises
+        ------
+        AnswerDiffers
+            If the new attempt's answer doesn't go on from the old one's.
+        CallerGone
+            If the caller has left.
+        """
+        if not data:
+            return
+        if self.first_data_s is None:
+            self.first_data_s = now
+        self.last_data_s = now
+        self.pieces += 1
+        if not self.streaming:
+            self._body += data
+            return
+        data = self._skip(data)
+        if data:
+            await self._pass_on(data)
+
+    def finish(self, result):
+        """
+        End the answer.
+
+        Parameters
+        ----------
+        result : Result of Answer, Refusal
+        """
+        if self._ready.is_set() and not self.streaming:
+            return
+        if isinstance(result, Failure):
+            self._refuse(result.failure())
+        else:
+            self._complete(result.unwrap())
+        self._ready.set()
+        self._send.close()
+
+    def take_answer(self):
+        """
+        Give the answer that has arrived, once the attempt has ended.
+
+        Returns
+        -------
+        Answer
+        """
+        verdict = verdict_of_status(self.head.status)
+        return Answer(self.head.status, self.head.headers, bytes(self._body), verdict)
+
+    async def ready(self):
+        """
+        Wait for the response.
+
+        Returns
+        -------
+        Response
+            Its body may still be produced while it is sent.
+        """
+        await self._ready.wait()
+        return self._response
+
+    def _skip(self, data):
+        if self._skip_bytes == 0:
+            return data
+        repeated, rest = data[: self._skip_bytes], data[self._skip_bytes :]
+        self._new_sum.update(repeated)
+        self._skip_bytes -= len(repeated)
+        if self._skip_bytes == 0 and self._new_sum.digest() != self._sum.digest():
+            raise AnswerDiffers(f"within the first {self._sent_bytes} bytes")
+        return rest
+
+    async def _pass_on(self, data):
+        if not self._ready.is_set():
+            headers = _headers(self.head.headers, verdict_of_status(self.head.status))
+            self._response = Response(self.head.status, headers, self._chunks())
+            self._ready.set()
+        self._sum.update(data)
+        self._sent_bytes += len(data)
+        try:
+            await self._send.send(data)
+        except BrokenResourceError as exc:
+            raise CallerGone from exc
+
+    def _complete(self, answer):
+        self._whole = True
+        if not self.started:
+            headers = _headers(answer.headers, answer.verdict)
+            self._response = Response(answer.status, headers, answer.body)
+
+    def _refuse(self, refusal):
+        if not self.started:
+            self._response = problem_response(refusal)
+            return
+        kinds = dict(self.head.headers)
+        if kinds.get("content-type", "").startswith(_EVENT_STREAM):
+            self._body = bytearray(_error_event(refusal))
+
+    async def _chunks(self):
+        # The server closes this generator when the caller leaves. Without the
+        # call, an engine that is silent just then would work on for nobody.
+        try:
+            with self._receive:
+                async for chunk in self._receive:
+                    yield chunk
+        except GeneratorExit:
+            self._on_close()
+            raise
+        if not self._whole:
+            if self._body:
+                yield bytes(self._body)
+            raise StreamCut
+
+
+def verdict_of_status(status):
+    """
+    Tell whether a backend server that answered with a status has run the request.
+
+    Parameters
+    ----------
+    status : int
+
+    Returns
+    -------
+    Verdict
+        May-have-run for 5xx: a server that failed may have done its work before.
+    """
+    return Verdict.MAY_HAVE_RUN if status >= _SERVER_ERROR else Verdict.RAN
+
+
+def _headers(headers, verdict):
+    return (*headers, (VERDICT_HEADER, verdict.value))
+
+
+def _error_event(refusal):
+    problem = dumps(
+        {
+            "reason": refusal.reason,
+            "detail": refusal.detail,
+            "verdict": refusal.verdict.value,
+            "retry_after_s": refusal.retry_after_s,
+        }
+    )
+    return b"event: error\ndata: " + problem + b"\n\n"
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -0,0 +1,85 @@
+"""Filter: carries the attempt to the agent and its answer to the delivery."""
+
+from returns.result import Failure, Success
+from trio import Cancelled
+
+from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.entry.exceptions import AnswerDiffers, CallerGone
+from gooseberryyoke_daemon.logs import log_event
+
+__all__ = ["Dispatch"]
+
+
+class Dispatch:
+    """
+    Runs the attempt; the last filter.
+
+    Parameters
+    ----------
+    link : AgentLink
+    fleet : Fleet
+    in_flight : InFlight
+        Attempts that this entry waits for.
+    clock : Clock
+    """
+
+    __slots__ = ("_clock", "_fleet", "_in_flight", "_link")
+
+    def __init__(self, link, fleet, in_flight, clock):
+        self._link = link
+        self._fleet = fleet
+        self._in_flight = in_flight
+        self._clock = clock
+
+    async def __call__(self, exchange, proceed):
+        """Run the attempt and note its end, however it comes."""
+        server, number = exchange.server.name, exchange.order.attempt
+        before, exchange.verdict = exchange.verdict, Verdict.MAY_HAVE_RUN
+        now = self._clock.now()
+        if exchange.dispatched_s is None:
+            exchange.dispatched_s = now
+        self._fleet.dispatched(server, number, exchange.demand, now)
+        self._in_flight.add(server, number)
+        log_event("dispatch", request=exchange.number, attempt=number, server=server)
+        try:
+            result = await self._run(exchange)
+        except (Cancelled, CallerGone):
+            self._fleet.finished(server, number, self._clock.now())
+            raise
+        finally:
+            self._in_flight.discard(server, number)
+        self._note_end(exchange, result)
+        if isinstance(result, Failure):
+            refusal = result.failure()
+            exchange.verdict = before.then(refusal.verdict)
+            return Failure(refusal.replace(verdict=exchange.verdict))
+        answer = exchange.delivery.take_answer()
+        exchange.verdict = answer.verdict
+        return Success(answer)
+
+    async def _run(self, exchange):
+        exchange.delivery.begin_attempt(exchange.wants_stream)
+        try:
+            return await self._link.run(
+                exchange.server, exchange.order, exchange.delivery, exchange.deadline_s
+            )
+        except AnswerDiffers as exc:
+            detail = f"the answer of another server differs: {exc}"
+            return Failure(
+                Refusal(Verdict.MAY_HAVE_RUN, 502, "answer-differs", detail, 1.0)
+            )
+
+    def _note_end(self, exchange, result):
+        server, number = exchange.server.name, exchange.order.attempt
+        now = self._clock.now()
+        if isinstance(result, Success):
+            self._fleet.first_token(server, number, now)
+            self._fleet.finished(server, number, now)
+            return
+        reason = result.failure().reason
+        log_event("attempt-failed", request=exchange.number, attempt=number, why=reason)
+        if reason == "leaving":
+            self._fleet.finished(server, number, now)
+            self._fleet.left(server)
+        else:
+            self._fleet.failed(server, number, now)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -0,0 +1,158 @@
+"""The entry's parts, wired, and its life from start to stop."""
+
+from trio import TASK_STATUS_IGNORED, Event, open_nursery, sleep
+
+from gooseberryyoke.admission import Admission
+from gooseberryyoke.balance import Fleet
+from gooseberryyoke.membership import Directory, EntryAnnouncement, new_incarnation
+from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke_daemon.announcer import Announcer
+from gooseberryyoke_daemon.entry.address_book import AddressBook
+from gooseberryyoke_daemon.entry.admit import Admit
+from gooseberryyoke_daemon.entry.authenticate import Authenticate
+from gooseberryyoke_daemon.entry.caller import CallerRoutes
+from gooseberryyoke_daemon.entry.choose import Choose
+from gooseberryyoke_daemon.entry.classify import Classify
+from gooseberryyoke_daemon.entry.dispatch import Dispatch
+from gooseberryyoke_daemon.entry.in_flight import InFlight
+from gooseberryyoke_daemon.entry.internal import ENTRY_PATH, EntryInternalRoutes
+from gooseberryyoke_daemon.entry.link import AgentLink
+from gooseberryyoke_daemon.entry.pipeline import Pipeline
+from gooseberryyoke_daemon.entry.retry import Retry
+from gooseberryyoke_daemon.entry.roster import Roster
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import HttpServer
+
+__all__ = ["EntryNode"]
+
+_MEMORY_S = 300.0
+_DEFAULT_MAX_AGE_S = 5.0
+_ADDRESS_MARGIN_S = 1.0
+
+
+class EntryNode:
+    """
+    One entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Of this role.
+    process : Process
+        What all roles of the process share.
+    bundles : BundleKeeper
+        Gives the bundle in force.
+    observer : Observer
+        Takes the figures of each exchange.
+    """
+
+    def __init__(self, settings, process, bundles, observer):
+        self._settings = settings
+        self._process = process
+        self._bundles = bundles
+        self._observer = observer
+        self._stopped = Event()
+        self.incarnation = new_incarnation(process.clock.wall(), process.rng)
+        self._servers = Directory(settings.silence_s, _MEMORY_S)
+        self._entries = Directory(settings.silence_s, _MEMORY_S)
+        self._fleet = Fleet(process.data_centre)
+        self._in_flight = InFlight()
+        self._addresses = AddressBook(
+            process.name,
+            settings.url,
+            self._entries,
+            bundles.current,
+            process.clock,
+            _DEFAULT_MAX_AGE_S,
+        )
+        self._announcer = Announcer(
+            process.signed_client,
+            settings.peers,
+            ENTRY_PATH,
+            settings.announce_interval_s,
+            self._announcement,
+        )
+        self._server = None
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """
+        Run until `leave` has ended or the task is cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told the routes for the internal port.
+        """
+        roster = Roster(self._servers, self._entries, self._fleet, self._process.clock)
+        async with open_nursery() as nursery:
+            self._server = HttpServer(self._callers(nursery), self._process.limits)
+            listeners = await self._process.network.listen(self._settings.listen)
+            nursery.start_soon(roster.run, self._settings.announce_interval_s)
+            nursery.start_soon(self._announcer.run)
+            nursery.start_soon(self._serve_callers, listeners)
+            task_status.started(
+                [EntryInternalRoutes(self._process.name, roster, self._in_flight)]
+            )
+
+    async def leave(self):
+        """
+        Stop without cutting work.
+
+        Callers keep the answer to "which address" for a while, so that requests
+        are accepted until that time has passed; then the last answers are given.
+        """
+        log_event("entry-leaving", exchanges=self._server.exchanges)
+        self._addresses.leaving = True
+        self._announcer.notify()
+        self._server.drain()
+        await sleep(self._addresses.max_age_s + _ADDRESS_MARGIN_S)
+        self._server.stop_accepting()
+        await self._stopped.wait()
+
+    async def _serve_callers(self, listeners):
+        await self._server.run(listeners)
+        self._stopped.set()
+
+    def _callers(self, nursery):
+        process = self._process
+        numbers = f"{process.name}-{self.incarnation:x}"
+        pipeline = Pipeline(self._filters(nursery))
+        return CallerRoutes(
+            numbers,
+            pipeline,
+            self._addresses,
+            self._observer,
+            nursery,
+            process.clock,
+        )
+
+    def _filters(self, nursery):
+        process, settings = self._process, self._settings
+        clock, rng = process.clock, process.rng
+        link = AgentLink(
+            process.signed_client,
+            clock,
+            nursery,
+            settings.stream_silence_s,
+            settings.recover_s,
+        )
+        return [
+            Authenticate(self._bundles.current, self._addresses.others),
+            Classify(clock),
+            Admit(Admission(), self._fleet, clock, rng),
+            Retry(RetryBudget(), clock),
+            Choose(process.name, self._fleet, self._servers, clock, rng),
+            Dispatch(link, self._fleet, self._in_flight, clock),
+        ]
+
+    def _announcement(self, sequence):
+        bundle = self._bundles.current()
+        return EntryAnnouncement(
+            self._process.name,
+            self.incarnation,
+            sequence,
+            self._process.data_centre,
+            self._settings.url,
+            self._addresses.leaving,
+            0 if bundle is None else bundle.version,
+        )
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -0,0 +1,56 @@
+"""Filter: further attempts, where that can't run anything twice."""
+
+from returns.result import Success
+
+from gooseberryyoke_daemon.logs import log_event
+
+__all__ = ["Retry"]
+
+_REROUTED = frozenset(["leaving", "agent-full", "other-incarnation"])
+
+
+class Retry:
+    """
+    Repeats the rest of the pipeline within the budget.
+
+    Parameters
+    ----------
+    budget : RetryBudget
+    clock : Clock
+    """
+
+    __slots__ = ("_budget", "_clock")
+
+    def __init__(self, budget, clock):
+        self._budget = budget
+        self._clock = clock
+
+    async def __call__(self, exchange, proceed):
+        """Run attempts until one is answered or no more may be made."""
+        self._budget.request_started()
+        rerouted = 0
+        while True:
+            result = await proceed()
+            if isinstance(result, Success):
+                return result
+            refusal = result.failure()
+            if exchange.server is None:
+                return result
+            decision = self._decide(exchange, refusal, rerouted)
+            rerouted += refusal.reason in _REROUTED
+            if not decision.allowed:
+                return result
+            log_event(
+                "retry",
+                request=exchange.number,
+                reason=refusal.reason,
+                server=exchange.server.name,
+            )
+
+    def _decide(self, exchange, refusal, rerouted):
+        now = self._clock.now()
+        if refusal.reason in _REROUTED:
+            return self._budget.may_reroute(rerouted, exchange.deadline_s, 0.0, now)
+        return self._budget.may_retry(
+            exchange.verdict, exchange.repeatable, exchange.deadline_s, 0.0, now
+        )
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
@@ -0,0 +1,85 @@
+"""Keeps directories and fleet in step with the announcements."""
+
+from trio import sleep
+
+from gooseberryyoke.balance import LoadReport
+from gooseberryyoke_daemon.logs import log_event
+
+__all__ = ["Roster"]
+
+_PREFILL_TOKENS_PER_S = 8000.0
+
+
+class Roster:
+    """
+    Applies announcements to what the filters use.
+
+    Parameters
+    ----------
+    servers, entries : Directory
+    fleet : Fleet
+    clock : Clock
+    """
+
+    def __init__(self, servers, entries, fleet, clock):
+        self._servers = servers
+        self._entries = entries
+        self._fleet = fleet
+        self._clock = clock
+
+    def entry_announced(self, announcement):
+        """Take an `EntryAnnouncement`."""
+        self._entries.apply(announcement, self._clock.now())
+
+    def server_announced(self, announcement):
+        """Take a `ServerAnnouncement`."""
+        known = self._servers.get(announcement.name)
+        if not self._servers.apply(announcement, self._clock.now()):
+            return
+        if known is None or known.leaving != announcement.leaving:
+            log_event(
+                "server-announced",
+                server=announcement.name,
+                leaving=announcement.leaving,
+            )
+        self._fleet.announced(
+            announcement.name,
+            announcement.incarnation,
+            announcement.data_centre,
+            announcement.service,
+            announcement.models,
+            announcement.leaving,
+        )
+        if announcement.report:
+            report = _report_of(announcement)
+            self._fleet.reported(announcement.name, report, self._clock.now())
+
+    async def run(self, interval_s):
+        """Take silent servers out until cancelled, at intervals in seconds."""
+        while True:
+            await sleep(interval_s)
+            self._expire()
+
+    def _expire(self):
+        now = self._clock.now()
+        live = {server.name for server in self._servers.live(now)}
+        for view in list(self._fleet):
+            if view.server_id not in live:
+                log_event("server-silent", server=view.server_id)
+                self._fleet.removed(view.server_id)
+        self._servers.forget(now)
+        self._entries.forget(now)
+
+
+def _report_of(announcement):
+    report = announcement.report
+    return LoadReport(
+        announcement.sequence,
+        announcement.report_age_s,
+        int(report.get("running", 0)),
+        int(report.get("queued", 0)),
+        max(1, int(report.get("batch_slots", 1))),
+        float(report.get("step_ms", 0.0)) / 1000,
+        float(report.get("prefill_tokens_per_s", _PREFILL_TOKENS_PER_S)),
+        int(report.get("waiting_tokens", 0)),
+    )
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
@@ -0,0 +1,115 @@
+"""Fakes of a model engine and of a plain service, as handlers of requests."""
+
+from collections import Counter
+
+from orjson import dumps, loads
+from trio import Event, sleep
+
+from gooseberryyoke_daemon.wire import Response, json_response
+
+__all__ = ["FakeEngine", "FakeService"]
+
+_EVENTS = (("content-type", "text/event-stream"),)
+
+
+class FakeEngine:
+    """
+    Answers chat completions with the words of the question, one a step.
+
+    Parameters
+    ----------
+    step_s : float
+        Time between two words, in seconds.
+
+    Attributes
+    ----------
+    runs : collections.Counter
+        How often each question was begun.
+    finished : collections.Counter
+        How often each question was answered to the end.
+    leaving : bool
+        Told in the load report.
+    stalled : bool
+        Whether to say nothing more in any answer.
+    """
+
+    def __init__(self, step_s=0.01):
+        self.step_s = step_s
+        self.runs = Counter()
+        self.finished = Counter()
+        self.running = 0
+        self.leaving = False
+        self.stalled = False
+
+    async def __call__(self, request):
+        """Answer ``/load`` and chat completions."""
+        if request.path == "/load":
+            return json_response(200, self._load())
+        body = loads(request.body)
+        question = body["messages"][-1]["content"]
+        self.runs[question] += 1
+        if body.get("stream"):
+            return Response(200, _EVENTS, self._events(question))
+        words = [word async for word in self._words(question)]
+        message = {"role": "assistant", "content": " ".join(words)}
+        return json_response(200, {"choices": [{"message": message}]})
+
+    def _load(self):
+        return {
+            "running": self.running,
+            "queued": 0,
+            "batch_slots": 8,
+            "step_ms": self.step_s * 1000,
+            "leaving": self.leaving,
+        }
+
+    async def _words(self, question):
+        self.running += 1
+        try:
+            for word in question.split():
+                await sleep(self.step_s)
+                if self.stalled:
+                    await Event().wait()
+                yield word
+            self.finished[question] += 1
+        finally:
+            self.running -= 1
+
+    async def _events(self, question):
+        async for word in self._words(question):
+            yield b"data: " + dumps({"delta": word}) + b"\n\n"
+        yield b"data: [DONE]\n\n"
+
+
+class FakeService:
+    """
+    Numbers each POST and counts how often it ran for each business key.
+
+    Parameters
+    ----------
+    call_s : float
+        Time of one call, in seconds.
+    runs : collections.Counter, optional
+        Shared by the servers of one service, as their database is.
+    """
+
+    def __init__(self, call_s=0.02, runs=None):
+        self.call_s = call_s
+        self.runs = Counter() if runs is None else runs
+        self.leaving = False
+        self.finished = 0
+
+    async def __call__(self, request):
+        """Answer ``/load`` and any call."""
+        if request.path == "/load":
+            return json_response(
+                200, {"batch_slots": 8, "step_ms": 10, "leaving": self.leaving}
+            )
+        if request.method == "POST":
+            name = loads(request.body)["id"]
+            self.runs[name] += 1
+            number = sum(self.runs.values())
+            await sleep(self.call_s)
+            self.finished += 1
+            return json_response(201, {"id": name, "number": number})
+        return json_response(200, {"path": request.target})
