--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
@@ -1,7 +1,7 @@
 """Requests and responses, apart from how they travel."""
 
 from math import ceil
-from urllib.parse import parse_qsl, unquote, urlsplit
+from urllib.parse import parse_qsl, unquote
 
 import orjson
 
@@ -82,7 +82,7 @@
     @property
     def query(self):
         """Query parameters, the last of each name."""
-        return dict(parse_qsl(urlsplit(self.target).query, keep_blank_values=True))
+        return dict(parse_qsl(self.target.partition("?")[2], keep_blank_values=True))
 
     def header(self, name, default=None):
         """See `find_header`."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reading.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reading.py
@@ -86,6 +86,9 @@
 
 
 def _check_head(head, limits):
+    if head.method == b"CONNECT":
+        detail = "method CONNECT, expected one that names a path of this server"
+        raise RequestRefused(refusal_of(501, "method-not-supported", detail))
     if len(head.headers) > limits.header_count:
         detail = f"{len(head.headers)} headers, at most {limits.header_count}"
         raise RequestRefused(refusal_of(431, "too-many-headers", detail))
