Read nodes' settings from the checked settings; learn answer lengths

Cause: a caller's wide limit on tokens was taken for the answer's length, so that the prediction refused requests that would have been in time (a session with 20 words at 0.2 s a step was predicted at 25.6 s, patience 10 s). Ruled out: ignoring the limit (a short one is a good bound); a fixed guess. Change: the entry learns the length of answers by class and takes the lower of mean and limit; entry and agent read the checked settings.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -27,14 +27,15 @@
 
     Parameters
     ----------
-    settings : AgentSettings
-        Of this role.
+    settings : Settings
+        With the role ``agent``.
     process : Process
         What all roles of the process share.
     """
 
     def __init__(self, settings, process):
-        self._settings = settings
+        self._settings = settings.agent
+        self._server = settings.agent.server
         self._process = process
         self._clock = process.clock
         self._stopping = False
@@ -42,16 +43,16 @@
         self._table = None
         self._reporter = Reporter(
             process.plain_client,
-            settings.server,
-            settings.load_path,
-            settings.report_interval_s,
+            self._server.address,
+            self._server.load_path,
+            self._settings.report_interval_s,
             self._clock,
         )
         self._announcer = Announcer(
             process.signed_client,
             settings.entries,
             ANNOUNCE_PATH,
-            settings.announce_interval_s,
+            self._settings.announce_interval_s,
             self._announcement,
             self._heard_interest,
         )
@@ -65,15 +66,18 @@
         task_status : trio.TaskStatus
             Told the routes for the internal port.
         """
-        settings = self._settings
         runner = Runner(
-            self._process.plain_client, settings.server, _HEAD_TIMEOUT_S, _ANSWER_BYTES
+            self._process.plain_client,
+            self._server.address,
+            _HEAD_TIMEOUT_S,
+            _ANSWER_BYTES,
         )
         async with open_nursery() as nursery:
             self._table = AttemptTable(
                 self.incarnation, runner, nursery, self._clock, _MAX_RUNNING
             )
-            task_status.started([AgentRoutes(self._table, settings.heartbeat_s)])
+            heartbeat_s = self._settings.heartbeat_interval_s
+            task_status.started([AgentRoutes(self._table, heartbeat_s)])
             nursery.start_soon(self._reporter.run, self._server_changed)
             nursery.start_soon(self._announcer.run)
             nursery.start_soon(self._sweep)
@@ -97,15 +101,15 @@
         self._announcer.notify()
 
     def _announcement(self, sequence):
-        settings = self._settings
+        server = self._server
         unusable = self._table.leaving or not self._reporter.reachable
         return ServerAnnouncement(
-            settings.server_name,
+            server.name,
             self.incarnation,
             sequence,
             self._process.data_centre,
-            settings.service,
-            list(settings.models),
+            server.service,
+            list(server.models),
             str(self._process.internal_address),
             unusable,
             self._reporter.report,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
@@ -19,8 +19,9 @@
     client : HttpClient
     address : Address
         Of the backend server.
-    path : str
-        Where it reports load.
+    path : str or None
+        Where it reports load. Without one the server is taken for reachable; the
+        entries learn of failures from their attempts.
     interval_s : float
         Between two requests, in seconds.
     clock : Clock
@@ -36,7 +37,7 @@
     def __init__(self, client, address, path, interval_s, clock):
         self.report = {}
         self.leaving = False
-        self.reachable = False
+        self.reachable = path is None
         self._client = client
         self._address = address
         self._path = path
@@ -58,7 +59,7 @@
         on_change : callable
             Called when the server starts or stops taking new work.
         """
-        while True:
+        while self._path is not None:
             before = (self.reachable, self.leaving)
             await self._poll()
             if (self.reachable, self.leaving) != before:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/classify.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/classify.py
@@ -25,12 +25,14 @@
     Parameters
     ----------
     clock : Clock
+    sizes : AnswerSizes
     """
 
-    __slots__ = ("_clock",)
+    __slots__ = ("_clock", "_sizes")
 
-    def __init__(self, clock):
+    def __init__(self, clock, sizes):
         self._clock = clock
+        self._sizes = sizes
 
     async def __call__(self, exchange, proceed):
         """Set class, deadline, key and demand, then go on."""
@@ -40,8 +42,8 @@
         if refusal is not None:
             return Failure(refusal)
         self._set_deadline(exchange)
-        model = exchange.body.get("model")
-        exchange.demand = demand_of(exchange, model if _is_chat(exchange) else None)
+        model = exchange.body.get("model") if _is_chat(exchange) else None
+        exchange.demand = demand_of(exchange, model, self._sizes)
         return await proceed()
 
     def _set_class(self, exchange):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -107,6 +107,11 @@
         """Whether the caller has got a part of the answer."""
         return self._sent_bytes > 0
 
+    @property
+    def size_bytes(self):
+        """Length of an answer that is passed on whole, in bytes."""
+        return len(self._body)
+
     def begin_attempt(self, streaming):
         """
         Take the answer of a new attempt, from its beginning.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/demand.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/demand.py
@@ -5,15 +5,14 @@
 
 from gooseberryyoke.balance import PREFIX_BLOCK_TOKENS, Demand
 
-__all__ = ["demand_of"]
+__all__ = ["answer_tokens", "demand_of"]
 
 _BYTES_PER_TOKEN = 4
 _BLOCK_BYTES = PREFIX_BLOCK_TOKENS * _BYTES_PER_TOKEN
 _MAX_BLOCKS = 32
-_DEFAULT_ANSWER_TOKENS = 128
 
 
-def demand_of(exchange, model):
+def demand_of(exchange, model, sizes):
     """
     Estimate the demand of a request.
 
@@ -23,6 +22,7 @@
         Classified.
     model : str or None
         None for a plain service.
+    sizes : AnswerSizes
 
     Returns
     -------
@@ -44,17 +44,34 @@
         model,
         _prefix_digests(model, prompt),
         len(prompt) // _BYTES_PER_TOKEN,
-        _answer_tokens(exchange.body),
+        sizes.expected(cls.name, _token_limit(exchange.body)),
         cls.priority,
         exchange.deadline_s,
     )
 
 
-def _answer_tokens(body):
-    wanted = body.get("max_tokens") or body.get("max_completion_tokens")
-    if isinstance(wanted, int) and wanted > 0:
-        return wanted
-    return _DEFAULT_ANSWER_TOKENS
+def answer_tokens(delivery):
+    """
+    Estimate the length of a whole answer.
+
+    Parameters
+    ----------
+    delivery : Delivery
+        After its end.
+
+    Returns
+    -------
+    int
+        Tokens; a streamed answer has about one in each piece.
+    """
+    if delivery.streaming:
+        return delivery.pieces
+    return delivery.size_bytes // _BYTES_PER_TOKEN
+
+
+def _token_limit(body):
+    limit = body.get("max_completion_tokens", body.get("max_tokens"))
+    return limit if isinstance(limit, int) and limit > 0 else None
 
 
 def _prefix_digests(model, prompt):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -4,6 +4,7 @@
 from trio import Cancelled
 
 from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.entry.demand import answer_tokens
 from gooseberryyoke_daemon.entry.exceptions import AnswerDiffers, CallerGone
 from gooseberryyoke_daemon.logs import log_event
 
@@ -20,15 +21,18 @@
     fleet : Fleet
     in_flight : InFlight
         Attempts that this entry waits for.
+    sizes : AnswerSizes
+        Learns from whole answers.
     clock : Clock
     """
 
-    __slots__ = ("_clock", "_fleet", "_in_flight", "_link")
+    __slots__ = ("_clock", "_fleet", "_in_flight", "_link", "_sizes")
 
-    def __init__(self, link, fleet, in_flight, clock):
+    def __init__(self, link, fleet, in_flight, sizes, clock):
         self._link = link
         self._fleet = fleet
         self._in_flight = in_flight
+        self._sizes = sizes
         self._clock = clock
 
     async def __call__(self, exchange, proceed):
@@ -55,6 +59,9 @@
             return Failure(refusal.replace(verdict=exchange.verdict))
         answer = exchange.delivery.take_answer()
         exchange.verdict = answer.verdict
+        if answer.verdict is Verdict.RAN:
+            tokens = answer_tokens(exchange.delivery)
+            self._sizes.learn(exchange.request_class.name, tokens)
         return Success(answer)
 
     async def _run(self, exchange):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -9,6 +9,7 @@
 from gooseberryyoke_daemon.announcer import Announcer
 from gooseberryyoke_daemon.entry.address_book import AddressBook
 from gooseberryyoke_daemon.entry.admit import Admit
+from gooseberryyoke_daemon.entry.answer_size import AnswerSizes
 from gooseberryyoke_daemon.entry.authenticate import Authenticate
 from gooseberryyoke_daemon.entry.caller import CallerRoutes
 from gooseberryyoke_daemon.entry.choose import Choose
@@ -28,6 +29,7 @@
 _MEMORY_S = 300.0
 _DEFAULT_MAX_AGE_S = 5.0
 _ADDRESS_MARGIN_S = 1.0
+_RECOVER_S = 2.0
 
 
 class EntryNode:
@@ -36,8 +38,8 @@
 
     Parameters
     ----------
-    settings : EntrySettings
-        Of this role.
+    settings : Settings
+        With the role ``entry``.
     process : Process
         What all roles of the process share.
     bundles : BundleKeeper
@@ -47,19 +49,21 @@
     """
 
     def __init__(self, settings, process, bundles, observer):
-        self._settings = settings
+        self._settings = settings.entry
+        self._listen = settings.listen.callers
+        self._url = _public_url(settings)
         self._process = process
         self._bundles = bundles
         self._observer = observer
         self._stopped = Event()
         self.incarnation = new_incarnation(process.clock.wall(), process.rng)
-        self._servers = Directory(settings.silence_s, _MEMORY_S)
-        self._entries = Directory(settings.silence_s, _MEMORY_S)
+        self._servers = Directory(settings.entry.silence_s, _MEMORY_S)
+        self._entries = Directory(settings.entry.silence_s, _MEMORY_S)
         self._fleet = Fleet(process.data_centre)
         self._in_flight = InFlight()
         self._addresses = AddressBook(
             process.name,
-            settings.url,
+            self._url,
             self._entries,
             bundles.current,
             process.clock,
@@ -67,9 +71,9 @@
         )
         self._announcer = Announcer(
             process.signed_client,
-            settings.peers,
+            [peer for peer in settings.entries if peer != process.internal_address],
             ENTRY_PATH,
-            settings.announce_interval_s,
+            self._settings.announce_interval_s,
             self._announcement,
         )
         self._server = None
@@ -86,7 +90,7 @@
         roster = Roster(self._servers, self._entries, self._fleet, self._process.clock)
         async with open_nursery() as nursery:
             self._server = HttpServer(self._callers(nursery), self._process.limits)
-            listeners = await self._process.network.listen(self._settings.listen)
+            listeners = await self._process.network.listen(self._listen)
             nursery.start_soon(roster.run, self._settings.announce_interval_s)
             nursery.start_soon(self._announcer.run)
             nursery.start_soon(self._serve_callers, listeners)
@@ -134,15 +138,16 @@
             clock,
             nursery,
             settings.stream_silence_s,
-            settings.recover_s,
+            _RECOVER_S,
         )
+        sizes = AnswerSizes()
         return [
             Authenticate(self._bundles.current, self._addresses.others),
-            Classify(clock),
+            Classify(clock, sizes),
             Admit(Admission(), self._fleet, clock, rng),
             Retry(RetryBudget(), clock),
             Choose(process.name, self._fleet, self._servers, clock, rng),
-            Dispatch(link, self._fleet, self._in_flight, clock),
+            Dispatch(link, self._fleet, self._in_flight, sizes, clock),
         ]
 
     def _announcement(self, sequence):
@@ -152,7 +157,14 @@
             self.incarnation,
             sequence,
             self._process.data_centre,
-            self._settings.url,
+            self._url,
             self._addresses.leaving,
             0 if bundle is None else bundle.version,
         )
+
+
+def _public_url(settings):
+    if settings.entry.public_url is not None:
+        return settings.entry.public_url
+    scheme = "http" if settings.tls is None else "https"
+    return f"{scheme}://{settings.listen.callers}"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -3,7 +3,7 @@
 
 from gooseberryyoke_daemon.testing import FakeEngine, FakeService, run_session
 from gooseberryyoke_daemon.testing.session import chat
-from gooseberryyoke_daemon.wire import ExchangeBroken
+from gooseberryyoke_daemon.wire import Address, ExchangeBroken
 
 
 async def small_system(session, engines, services=(), entries=1):
@@ -231,6 +231,6 @@
         await sleep(3.0)
         with move_on_after(1.0):
             with pytest.raises(OSError):
-                await session.network.connect(session.nodes["e1"]._settings.listen)
+                await session.network.connect(Address("10.0.0.1", 8000))
 
     run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -6,13 +6,20 @@
 from trio import TASK_STATUS_IGNORED, CancelScope, open_nursery, run, sleep
 from trio.testing import MockClock
 
-from gooseberryyoke.bundle import key_hash, parse_bundle
+from gooseberryyoke.bundle import ENGINE, PLAIN, key_hash, parse_bundle
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.agent import AgentNode
 from gooseberryyoke_daemon.clock import Clock
 from gooseberryyoke_daemon.entry import EntryNode
 from gooseberryyoke_daemon.guard import Guard
 from gooseberryyoke_daemon.process import Process
+from gooseberryyoke_daemon.settings import (
+    AgentSettings,
+    EntrySettings,
+    Listen,
+    Server,
+    Settings,
+)
 from gooseberryyoke_daemon.testing.observer import RecordingObserver
 from gooseberryyoke_daemon.wire import (
     Address,
@@ -62,15 +69,6 @@
 """
 
 
-class _Role(Record):
-    """Settings of one role, by keyword."""
-
-    __slots__ = ("__dict__",)
-
-    def __init__(self, **values):
-        self.__dict__.update(values)
-
-
 class StaticBundles:
     """Stands in for the keeper of bundles."""
 
@@ -137,15 +135,9 @@
     async def entry(self, index):
         """Start an entry; its name is ``e`` with its number from 1."""
         address = self._entries[index - 1]
-        settings = _Role(
-            listen=Address(address.host, _CALLER_PORT),
-            url=f"http://{address.host}:{_CALLER_PORT}",
-            peers=[other for other in self._entries if other != address],
-            announce_interval_s=0.5,
-            silence_s=2.0,
-            stream_silence_s=1.5,
-            recover_s=2.0,
-        )
+        listen = Listen(address, Address(address.host, _CALLER_PORT))
+        entry = EntrySettings("session", None, 0.5, 2.0, 1.5, 0.5)
+        settings = self._settings(f"e{index}", "entry", listen, entry=entry)
         process = self._process(f"e{index}", address)
         node = EntryNode(settings, process, self.bundles, self.observer)
         await self._start(f"e{index}", node, process)
@@ -154,19 +146,13 @@
     async def server(self, name, host, service, models, handler):
         """Start a fake backend server and its agent, on one host."""
         await self.nursery.start(self._serve_fake, f"{name}.server", host, handler)
-        settings = _Role(
-            server_name=name,
-            server=Address(host, _SERVER_PORT),
-            service=service,
-            models=models,
-            load_path="/load",
-            entries=self._entries,
-            report_interval_s=0.5,
-            announce_interval_s=0.5,
-            heartbeat_s=0.5,
-            linger_s=3.0,
-        )
-        process = self._process(name, Address(host, _INTERNAL_PORT))
+        address = Address(host, _INTERNAL_PORT)
+        kind = ENGINE if models else PLAIN
+        server_address = Address(host, _SERVER_PORT)
+        server = Server(name, server_address, kind, service, models, "/load")
+        agent = AgentSettings(server, 0.5, 0.5, 0.5, 3.0)
+        settings = self._settings(name, "agent", Listen(address), agent=agent)
+        process = self._process(name, address)
         node = AgentNode(settings, process)
         await self._start(name, node, process)
         return node
@@ -206,6 +192,25 @@
         payload = chat(question, stream)
         return await self.call("POST", "/v1/chat/completions", payload, entry)
 
+    def _settings(self, name, role, listen, entry=None, agent=None):
+        return Settings(
+            name,
+            "dc1",
+            (role,),
+            listen,
+            tuple(self._entries),
+            (),
+            None,
+            None,
+            None,
+            None,
+            Limits(),
+            "info",
+            entry,
+            agent,
+            None,
+        )
+
     def _process(self, name, address):
         return Process(
             name,
