--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
@@ -84,9 +84,7 @@
             # arrives later must not run either.
             self._ledger.bar(order.attempt, order.incarnation, now)
             return Failure(refusal)
-        taken = self._ledger.take(order.attempt, order.incarnation, now)
-        if isinstance(taken, Failure):
-            return Failure(_refusal_of_state(order, taken.failure().outcome.state))
+        self._ledger.take(order.attempt, order.incarnation, now).unwrap()
         self.bundle_version = max(self.bundle_version, order.bundle_version)
         attempt = Attempt(order, now)
         self._attempts[order.attempt] = attempt
@@ -215,6 +213,7 @@
         if order.incarnation != self.incarnation:
             detail = f"life {order.incarnation} has ended, this is {self.incarnation}"
             return _refuse(409, "other-incarnation", detail)
+        # First of all: another reason would call a copy of a running order not-run.
         state = self._ledger.outcome(order.attempt, order.incarnation).state
         if state is not AttemptState.UNKNOWN:
             return _refusal_of_state(order, state)
