--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -0,0 +1,253 @@
+"""A replica: the acceptor, its data folder and its way into the majority."""
+
+import orjson
+import trio
+from loguru import logger
+
+from gooseberryyoke.register import Acceptor, ReplicaState, decode, encode
+from gooseberryyoke.register.changes import Identified, PeerSeen
+from gooseberryyoke.register.exceptions import UndecodableRecord
+from gooseberryyoke.register.repair import next_incarnation
+from gooseberryyoke.register.state import READY
+from gooseberryyoke_daemon.registers import REGISTER_PATH, PeerFailed
+from gooseberryyoke_daemon.replica.joining import FolderOutdated, Joining
+from gooseberryyoke_daemon.storage import DamagedFile, DiskFailed, Journal, recover
+from gooseberryyoke_daemon.wire import json_response
+
+__all__ = ["Replica"]
+
+_BAD_REQUEST = 400
+_METHOD_NOT_ALLOWED = 405
+_UNAVAILABLE = 503
+_DEFAULT_HELLO_S = 1.0
+
+
+class Replica:
+    """
+    Holds registers for proposers; a peer for `RegisterClient`.
+
+    Parameters
+    ----------
+    seat : str
+        Configured name, the same for whoever holds the seat later.
+    disk : FolderDisk or MemoryDisk
+        The data folder.
+    peers : dict of str to object
+        The other seats' replicas.
+    rng : random.Random
+        Seeded from the system.
+    may_found : bool
+        Begin with an empty state if all replicas are empty. To be allowed only
+        for a new deployment: with all folders lost, claims would be forgotten.
+    hello_s : float
+        Pause between two rounds of telling the peers how far one is.
+    snapshot_bytes : int, optional
+        See `Journal`.
+
+    Notes
+    -----
+    A folder put back from a copy is noticed if the copy is older than about
+    ``hello_s`` before the last acknowledged write.
+    """
+
+    def __init__(
+        self,
+        seat,
+        disk,
+        peers,
+        rng,
+        may_found=False,
+        hello_s=_DEFAULT_HELLO_S,
+        snapshot_bytes=None,
+    ):
+        self.seat = seat
+        self.peers = dict(peers)
+        self.rng = rng
+        self.may_found = may_found
+        self.hello_s = hello_s
+        self.acceptor = None
+        self.journal = None
+        self._disk = disk
+        self._snapshot_bytes = snapshot_bytes
+        self._telling = 0
+
+    @property
+    def is_ready(self):
+        """Whether this replica votes."""
+        return self.acceptor is not None and self.acceptor.phase() == READY
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """
+        Recover, join the others and serve, until cancelled.
+
+        Parameters
+        ----------
+        task_status : object
+            Told once `call` answers, if only with `NotReady`.
+
+        Raises
+        ------
+        DiskFailed
+            If the disk fails: the role ends, its folder may be damaged.
+        """
+        replies = []
+        while True:
+            try:
+                await self._live(replies, task_status)
+            except* FolderOutdated as group:
+                replies = _first(group).replies
+                self.acceptor = None
+                task_status = trio.TASK_STATUS_IGNORED
+                aside = await self._disk.run(self._disk.set_aside, "outdated")
+                logger.error(
+                    "data folder is older than what peers saw of it; set aside",
+                    seat=self.seat,
+                    aside=aside,
+                )
+
+    async def _live(self, replies, task_status):
+        recovered = await self._recover()
+        state = ReplicaState()
+        for value in recovered.values:
+            state.apply(decode(value))
+        self._start_journal(recovered, state)
+        self._telling = recovered.position
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.journal.run)
+            if state.incarnation is None:
+                await self.identify(state, replies)
+            self.acceptor = Acceptor(state, is_admitted=False)
+            task_status.started()
+            await Joining(self, recovered.position).run()
+
+    def _start_journal(self, recovered, state):
+        limits = {}
+        if self._snapshot_bytes is not None:
+            limits["snapshot_bytes"] = self._snapshot_bytes
+        self.journal = Journal(self._disk, recovered, state.dump, encode, **limits)
+
+    async def _recover(self):
+        try:
+            return await self._disk.run(recover, self._disk)
+        except DamagedFile as exc:
+            # Cutting at the damage would forget what was acknowledged after it:
+            # the folder takes a new identity and copies the state of the others.
+            aside = await self._disk.run(self._disk.set_aside, "damaged")
+            logger.error(
+                "data folder is damaged; set aside",
+                seat=self.seat,
+                aside=aside,
+                damage=str(exc),
+            )
+            return await self._disk.run(recover, self._disk)
+
+    async def identify(self, state, replies):
+        """
+        Take a new identity, above every one known for the seat.
+
+        Parameters
+        ----------
+        state : ReplicaState
+            Of a folder that has never been part of a majority.
+        replies : list of HelloReply
+            From the other seats; may be empty.
+        """
+        incarnation = next_incarnation(self.seat, replies, self.rng)
+        logger.info("replica takes a new identity", seat=self.seat, to=str(incarnation))
+        await self.record(state, [Identified(self.seat, incarnation)])
+
+    async def record(self, state, changes):
+        """
+        Apply changes and sync them.
+
+        Parameters
+        ----------
+        state : ReplicaState
+            To apply to.
+        changes : list of Record
+            Not yet applied.
+        """
+        for change in changes:
+            state.apply(change)
+        self._append(changes)
+        await self.journal.sync(self.journal.position)
+
+    def _append(self, changes):
+        for change in changes:
+            position = self.journal.append(change)
+            if not isinstance(change, PeerSeen):
+                self._telling = position
+
+    def telling_position(self):
+        """
+        Give the position to tell peers: synced, and still while nothing happens.
+
+        Returns
+        -------
+        int
+        """
+        return min(self._telling, self.journal.synced)
+
+    async def call(self, message):
+        """
+        Answer a message once all that the answer rests on is synced.
+
+        Parameters
+        ----------
+        message : Record
+            A request of `gooseberryyoke.register.messages`.
+
+        Returns
+        -------
+        Record
+
+        Raises
+        ------
+        PeerFailed
+            If this replica has not started, or its disk failed.
+        """
+        if self.acceptor is None:
+            raise PeerFailed(f"replica {self.seat} has not started")
+        answer = self.acceptor.handle(message)
+        self._append(answer.changes)
+        # Also a read waits: it may show a cell of another call that is not synced
+        # yet, and that a crash would take back after the reader was told.
+        try:
+            await self.journal.sync(self.journal.position)
+        except DiskFailed as exc:
+            raise PeerFailed(f"replica {self.seat}: {exc}") from exc
+        return answer.reply
+
+    async def handle(self, request):
+        """
+        Serve the replica's route.
+
+        Parameters
+        ----------
+        request : Request
+            With a verified signature.
+
+        Returns
+        -------
+        Response or None
+            None if the path is another's.
+        """
+        if request.path != REGISTER_PATH:
+            return None
+        if request.method != "POST":
+            return json_response(_METHOD_NOT_ALLOWED, {"reason": "method-not-allowed"})
+        try:
+            message = decode(orjson.loads(request.body))
+            reply = await self.call(message)
+        except (UndecodableRecord, orjson.JSONDecodeError, TypeError) as exc:
+            detail = {"reason": "bad-message", "detail": str(exc)}
+            return json_response(_BAD_REQUEST, detail)
+        except PeerFailed as exc:
+            detail = {"reason": "replica-failed", "detail": str(exc)}
+            return json_response(_UNAVAILABLE, detail)
+        return json_response(200, encode(reply))
+
+
+def _first(group):
+    exc = group.exceptions[0]
+    return _first(exc) if isinstance(exc, BaseExceptionGroup) else exc
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
@@ -32,7 +32,7 @@
     Scan,
     ScanPage,
 )
-from gooseberryyoke.register.state import READY
+from gooseberryyoke.register.state import COPYING, FRESH, READY, RETURNING
 
 __all__ = ["Acceptor", "Answer"]
 
@@ -67,12 +67,28 @@
     ----------
     state : ReplicaState
         As rebuilt from the data folder; with an identity.
+    is_admitted : bool
+        The folder has been compared with what its peers remember of it.
     """
 
-    __slots__ = ("state",)
+    __slots__ = ("state", "is_admitted")
 
-    def __init__(self, state):
+    def __init__(self, state, is_admitted=True):
         self.state = state
+        self.is_admitted = is_admitted
+
+    def phase(self):
+        """
+        Tell how far this replica is from voting.
+
+        Returns
+        -------
+        str
+            ``READY`` if it votes; else ``FRESH``, ``COPYING`` or ``RETURNING``.
+        """
+        if self.state.status == READY:
+            return READY if self.is_admitted else RETURNING
+        return COPYING if self.state.slots else FRESH
 
     def stamp(self):
         """
@@ -98,8 +114,7 @@
         -------
         Answer
         """
-        ready = self.state.status == READY
-        if not ready and not isinstance(message, _SERVED_BEFORE_READY):
+        if self.phase() != READY and not isinstance(message, _SERVED_BEFORE_READY):
             # An empty or copying replica that voted would let a majority forget.
             return Answer(NotReady(self.stamp()))
         answer = self._answer(message)
@@ -205,9 +220,7 @@
     def _(self, message: Hello):
         seen_key = (message.seat, message.incarnation)
         seen = self.state.seen.get(seen_key, 0)
-        reply = HelloReply(
-            self.stamp(), self.state.status, seen, dict(self.state.founders)
-        )
+        reply = HelloReply(self.stamp(), self.phase(), seen, dict(self.state.founders))
         if message.fresh or message.position <= seen:
             return Answer(reply)
         change = PeerSeen(message.seat, message.incarnation, message.position)
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
@@ -230,7 +230,7 @@
     sender : Stamp
         The replica.
     state : str
-        ``fresh``, ``copying`` or ``ready``.
+        ``fresh``, ``copying``, ``returning`` or ``ready``.
     seen_position : int
         Highest position that the asking incarnation has told before.
     founders : dict of str to Incarnation
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
@@ -18,10 +18,11 @@
     SlotStored,
 )
 
-__all__ = ["COPYING", "FRESH", "READY", "ReplicaState"]
+__all__ = ["COPYING", "FRESH", "READY", "RETURNING", "ReplicaState"]
 
 FRESH = "fresh"
 COPYING = "copying"
+RETURNING = "returning"
 READY = "ready"
 
 
@@ -36,7 +37,7 @@
     incarnation : Incarnation or None
         Identity of the folder.
     status : str
-        ``FRESH``, ``COPYING`` or ``READY``.
+        ``FRESH`` until the folder has been part of a majority, then ``READY``.
     founders : dict of str to Incarnation
         Identities that began with an empty state together.
     roster : dict of str to Incarnation
