Add the operators' client and the routes that it talks to

Cause: operators drive the system by rolling bundles and by watching, and nothing else; a lost answer, a race under one version or a missing signature must leave them knowing what to do next.

Ruled out: ending a roll as soon as every known holder has the version (a holder that the asked entry has forgotten may still serve by the old bundle), so a roll waits out the lease; checking long bundles on the loop; a watch without lines while nothing changes, which looks like a lost connection.

Change: gooseberryyoke_client (click, http.client), gooseberryyoke_daemon.operators (routes over a keeper's interface, approval of envelopes, changes for the watch), golden files of whole sessions between both. A name is a kind of field of its own.

Safeguards taken out once: without waiting out the lease, with the check on the loop, and with a watch that ignores the stop, the test of each fails or doesn't end.

--- /dev/null
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the client, a module each."""
--- /dev/null
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/options.py
@@ -0,0 +1,91 @@
+"""Options that several commands have."""
+
+import functools
+import re
+
+import click
+
+from gooseberryyoke_client.answer import Answer, finish
+from gooseberryyoke_client.exceptions import EntryUnreachableError
+from gooseberryyoke_client.exit_codes import ExitCode
+
+__all__ = ["asks_entries", "gives_answer"]
+
+_ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.-]+):[0-9]{1,5}")
+
+
+def gives_answer(command):
+    """
+    Give a command ``--json``, and print the `Answer` that it returns.
+
+    Parameters
+    ----------
+    command : callable
+        Takes the `Session` first.
+
+    Returns
+    -------
+    callable
+    """
+
+    @click.option("--json", "as_json", is_flag=True, help="Answer in JSON.")
+    @click.pass_obj
+    @functools.wraps(command)
+    def _run(session, *args, as_json, **kwargs):
+        session.as_json = as_json
+        finish(command(session, *args, **kwargs), as_json)
+
+    return _run
+
+
+def asks_entries(command):
+    """
+    Give a command ``--entry``, and answer when no entry can be reached.
+
+    Parameters
+    ----------
+    command : callable
+        Takes the `Session` first.
+
+    Returns
+    -------
+    callable
+    """
+
+    @click.option(
+        "--entry",
+        "entries",
+        multiple=True,
+        required=True,
+        envvar="GOOSEBERRYYOKE_ENTRIES",
+        callback=_check_addresses,
+        metavar="HOST:PORT",
+        help="Operators' port of an entry; several are tried in turn. Also taken from "
+        "GOOSEBERRYYOKE_ENTRIES, separated by spaces.",
+    )
+    @functools.wraps(command)
+    def _run(session, *args, entries, **kwargs):
+        session.entries = entries
+        try:
+            return command(session, *args, **kwargs)
+        except EntryUnreachableError as exc:
+            return _unreachable(exc)
+
+    return _run
+
+
+def _check_addresses(ctx, param, value):
+    for address in value:
+        if not _ADDRESS.fullmatch(address):
+            raise click.BadParameter(f"found {address!r}, expected host:port")
+    return value
+
+
+def _unreachable(exc):
+    reasons = str(exc).splitlines()
+    lines = ["no entry answered", *(f"  {reason}" for reason in reasons)]
+    next_step = (
+        "check the addresses, name other entries with --entry, and run the command "
+        "again; that does no harm, for roll neither."
+    )
+    return Answer(ExitCode.NO_ENTRY, lines, {"entries": reasons}, next_step)
--- /dev/null
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/session.py
@@ -0,0 +1,107 @@
+"""What the commands share: entries, transport, clock and form of the answer."""
+
+import time
+
+from gooseberryyoke_client.exceptions import EntryUnreachableError
+
+__all__ = ["Session"]
+
+_TIMEOUT_S = 10.0
+_RETRY_S = 1.0
+
+
+class Session:
+    """
+    The entries that commands talk to.
+
+    Parameters
+    ----------
+    transport : HttpTransport
+    monotonic : callable, optional
+        Gives seconds.
+    sleep : callable, optional
+        Takes seconds.
+
+    Attributes
+    ----------
+    entries : tuple of str
+        Operators' addresses, in the order in which they are tried.
+    as_json : bool
+    """
+
+    def __init__(self, transport, monotonic=time.monotonic, sleep=time.sleep):
+        self._transport = transport
+        self.monotonic = monotonic
+        self.sleep = sleep
+        self.entries = ()
+        self.as_json = False
+
+    def ask(self, method, path, payload=None, is_final=lambda status: status != 503):
+        """
+        Ask the entries in turn until one gives a final answer.
+
+        Parameters
+        ----------
+        method, path : str
+        payload : object, optional
+        is_final : callable, optional
+            Tells by the status whether other entries needn't be asked.
+
+        Returns
+        -------
+        address : str
+        status : int
+        payload : dict
+            The first final answer, else the last answer of any kind.
+
+        Raises
+        ------
+        EntryUnreachableError
+            If none answered; the message has a line for each.
+        """
+        answer, failures = None, []
+        for address in self.entries:
+            try:
+                status, reply = self._transport.send(
+                    address, method, path, payload, _TIMEOUT_S
+                )
+            except EntryUnreachableError as exc:
+                failures.append(str(exc))
+                continue
+            answer = (address, status, reply)
+            if is_final(status):
+                break
+        if answer is None:
+            raise EntryUnreachableError("\n".join(failures))
+        return answer
+
+    def lines(self, path):
+        """
+        Read an endless answer from the entries in turn.
+
+        Parameters
+        ----------
+        path : str
+
+        Yields
+        ------
+        address : str
+        line : dict
+
+        Raises
+        ------
+        EntryUnreachableError
+            Once each entry has failed without a line since the last one that came.
+        """
+        failures = []
+        while len(failures) < len(self.entries):
+            for address in self.entries:
+                try:
+                    for line in self._transport.lines(address, path):
+                        failures = []
+                        yield address, line
+                    failures.append(f"{address}: ended the answer")
+                except EntryUnreachableError as exc:
+                    failures.append(str(exc))
+                self.sleep(_RETRY_S)
+        raise EntryUnreachableError("\n".join(failures[-len(self.entries) :]))
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/__init__.py
@@ -0,0 +1,23 @@
+"""The operators' port: roll a bundle, and watch."""
+
+from gooseberryyoke_daemon.operators.approval import Approval
+from gooseberryyoke_daemon.operators.keeper import (
+    Accepted,
+    Conflict,
+    HistoryLine,
+    Keeper,
+    NoMajority,
+    OlderVersion,
+)
+from gooseberryyoke_daemon.operators.routes import OperatorRoutes
+
+__all__ = [
+    "Accepted",
+    "Approval",
+    "Conflict",
+    "HistoryLine",
+    "Keeper",
+    "NoMajority",
+    "OlderVersion",
+    "OperatorRoutes",
+]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
@@ -8,6 +8,7 @@
     Key,
     ListOf,
     MapOf,
+    Name,
     Number,
     Section,
     Text,
@@ -30,10 +31,7 @@
 
 ROLES = ("entry", "agent", "replica")
 
-_NAME = Text(
-    r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
-    "a name of 1 to 63 letters, digits, '.', '_' or '-'",
-)
+_NAME = Name()
 _MODEL = Text(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}", "the name of a model")
 _URL_PATH = Text(r"/[!-~]{0,255}", "a path of a URL, such as /load")
 _URL = Text(r"https?://[A-Za-z0-9.\[\]:-]{1,255}", "such as http://10.0.0.7:8000")
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/schema.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/schema.py
@@ -21,6 +21,7 @@
     Key,
     ListOf,
     MapOf,
+    Name,
     Number,
     Section,
     Text,
@@ -37,10 +38,7 @@
 _MOST_KEYS = 16
 _DAY_S = 86_400
 
-_NAME = Text(
-    r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
-    "a name of 1 to 63 letters, digits, '.', '_' or '-'",
-)
+_NAME = Name()
 _MODEL = Text(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}", "the name of a model")
 _SHA256 = Text(r"[0-9a-f]{64}", "a SHA-256 of 64 hexadecimal digits in lower case")
 _METHOD = Text(r"[A-Z]{3,16}", "an HTTP method in capitals")
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/__init__.py
@@ -6,12 +6,21 @@
 from gooseberryyoke.document.mistake import Mistake
 from gooseberryyoke.document.reader import check_document
 from gooseberryyoke.document.report import Report
-from gooseberryyoke.document.scalar import Choice, Flag, Integer, Number, Text
+from gooseberryyoke.document.scalar import (
+    NAME_PATTERN,
+    Choice,
+    Flag,
+    Integer,
+    Name,
+    Number,
+    Text,
+)
 from gooseberryyoke.document.section import REQUIRED, Key, Section
 from gooseberryyoke.document.time import TimeOfDay, TimeZone
 
 __all__ = [
     "INVALID",
+    "NAME_PATTERN",
     "REQUIRED",
     "AddressField",
     "Choice",
@@ -22,6 +31,7 @@
     "ListOf",
     "MapOf",
     "Mistake",
+    "Name",
     "Number",
     "Report",
     "Section",
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/collection.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/collection.py
@@ -1,11 +1,9 @@
 """Checkers of lists and of mappings with free names."""
 
 from gooseberryyoke.document.field import INVALID, Field, register
-from gooseberryyoke.document.scalar import Text
+from gooseberryyoke.document.scalar import Name
 
-__all__ = ["NAME_PATTERN", "ListOf", "MapOf", "entries"]
-
-NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
+__all__ = ["ListOf", "MapOf", "entries"]
 
 
 def entries(node, path, report):
@@ -102,9 +100,7 @@
         self.least = least
         self.most = most
         self.into = into
-        self.name = name or Text(
-            NAME_PATTERN, "a name of 1 to 63 letters, digits, '.', '_' or '-'"
-        )
+        self.name = name or Name()
 
     def check(self, node, path, report):
         """Check a mapping; see `Field.check`."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/mistake.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/mistake.py
@@ -33,7 +33,8 @@
         self.message = message
 
     def __str__(self):
-        return f"{self.path or 'document'}: line {self.line}: {self.message}"
+        place = f"line {self.line}: " if self.line else ""
+        return f"{self.path or 'document'}: {place}{self.message}"
 
     def to_payload(self):
         """
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/scalar.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/scalar.py
@@ -4,9 +4,19 @@
 
 from gooseberryyoke.document.field import Field, register
 
-__all__ = ["Choice", "Flag", "Integer", "Number", "ScalarField", "Text"]
+__all__ = [
+    "NAME_PATTERN",
+    "Choice",
+    "Flag",
+    "Integer",
+    "Name",
+    "Number",
+    "ScalarField",
+    "Text",
+]
+
+NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
 
-_STRING_TAG = "tag:yaml.org,2002:str"
 _NULL_TAG = "tag:yaml.org,2002:null"
 _INTEGER = re.compile(r"-?(?:0|[1-9][0-9]{0,17})")
 _NUMBER = re.compile(r"-?[0-9]{1,18}(?:\.[0-9]{1,18})?(?:e[+-]?[0-9]{1,2})?")
@@ -79,6 +89,16 @@
         return self._meaning
 
 
+@register("name")
+class Name(Text):
+    """A name that may stand in paths, file names, headers and metrics."""
+
+    def __init__(self):
+        super().__init__(
+            NAME_PATTERN, "a name of 1 to 63 letters, digits, '.', '_' or '-'"
+        )
+
+
 @register("whole number")
 class Integer(ScalarField):
     """
