--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples: bundles of two deployments, fakes of backend servers, a demonstration."""
