--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -1,7 +1,6 @@
 """How a replica comes to vote, and notices that it must not."""
 
 import trio
-from loguru import logger
 
 from gooseberryyoke.register.changes import (
     FloorRaised,
@@ -19,6 +18,7 @@
     merge_slot,
 )
 from gooseberryyoke.register.state import READY
+from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import PeerFailed
 
 __all__ = ["CopyFailed", "FolderOutdated", "Joining"]
@@ -79,7 +79,7 @@
             if not self._acceptor.is_admitted:
                 await trio.sleep(pause_s * (1 + self._replica.rng.random()))
                 pause_s = min(2 * pause_s, self._replica.hello_s)
-        logger.info("replica votes", seat=self._replica.seat)
+        log_event("replica-votes", seat=self._replica.seat)
         while True:
             await trio.sleep(self._replica.hello_s)
             self._watch_seat(await self._greet())
@@ -141,7 +141,7 @@
             # Another process holds the seat now. Taking it back would make the
             # two replace each other for ever; proposers drop our votes already.
             self._acceptor.is_admitted = False
-            logger.error("seat is held by another process", seat=self._replica.seat)
+            log_event("seat-taken-over", "error", seat=self._replica.seat)
 
     async def _copy_all(self, sources):
         pages = []
@@ -149,8 +149,11 @@
             for seat in sources:
                 pages.append(await self._copy_from(self._replica.peers[seat]))
         except (PeerFailed, CopyFailed) as exc:
-            logger.warning(
-                "copy of the state broke off", seat=self._replica.seat, cause=str(exc)
+            log_event(
+                "copy-broken-off",
+                "warning",
+                seat=self._replica.seat,
+                detail=str(exc),
             )
             return
         if len(largest_consistent(pages)) < len(pages):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -2,13 +2,13 @@
 
 import orjson
 import trio
-from loguru import logger
 
 from gooseberryyoke.register import Acceptor, ReplicaState, decode, encode
 from gooseberryyoke.register.changes import Identified, PeerSeen
 from gooseberryyoke.register.exceptions import UndecodableRecord
 from gooseberryyoke.register.repair import next_incarnation
 from gooseberryyoke.register.state import READY
+from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import REGISTER_PATH, PeerFailed
 from gooseberryyoke_daemon.replica.joining import FolderOutdated, Joining
 from gooseberryyoke_daemon.storage import DamagedFile, DiskFailed, Journal, recover
@@ -99,11 +99,7 @@
                 self.acceptor = None
                 task_status = trio.TASK_STATUS_IGNORED
                 aside = await self._disk.run(self._disk.set_aside, "outdated")
-                logger.error(
-                    "data folder is older than what peers saw of it; set aside",
-                    seat=self.seat,
-                    aside=aside,
-                )
+                log_event("folder-outdated", "error", seat=self.seat, aside=aside)
 
     async def _live(self, replies, task_status):
         recovered = await self._recover()
@@ -133,11 +129,12 @@
             # Cutting at the damage would forget what was acknowledged after it:
             # the folder takes a new identity and copies the state of the others.
             aside = await self._disk.run(self._disk.set_aside, "damaged")
-            logger.error(
-                "data folder is damaged; set aside",
+            log_event(
+                "folder-damaged",
+                "error",
                 seat=self.seat,
                 aside=aside,
-                damage=str(exc),
+                detail=str(exc),
             )
             return await self._disk.run(recover, self._disk)
 
@@ -153,7 +150,12 @@
             From the other seats; may be empty.
         """
         incarnation = next_incarnation(self.seat, replies, self.rng)
-        logger.info("replica takes a new identity", seat=self.seat, to=str(incarnation))
+        log_event(
+            "replica-identified",
+            seat=self.seat,
+            generation=incarnation.generation,
+            nonce=incarnation.nonce,
+        )
         await self.record(state, [Identified(self.seat, incarnation)])
 
     async def record(self, state, changes):
