--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/consistency.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/consistency.py
@@ -8,7 +8,7 @@
 _NEEDED = {
     "entry": ("listen.callers", "listen.operators", "sign_off", "replicas"),
     "agent": ("entries",),
-    "replica": ("data_folder",),
+    "replica": ("data_folder", "replicas"),
 }
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/record.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/record.py
@@ -191,12 +191,15 @@
     ----------
     id : str
         As in the bundle's list of replicas.
+    may_found : bool
+        Whether it may found the durable state if all replicas are empty.
     """
 
-    __slots__ = ("id",)
+    __slots__ = ("id", "may_found")
 
-    def __init__(self, id):
+    def __init__(self, id, may_found=False):
         self.id = id
+        self.may_found = may_found
 
 
 class Settings(Record):
@@ -214,7 +217,8 @@
     entries : tuple of Address
         Internal addresses of entries to announce to.
     replicas : tuple of gooseberryyoke.bundle.Replica
-        Where the durable state is found before a first bundle is known.
+        Where the durable state is found before a first bundle is known; each with an
+        `Address`.
     data_folder : pathlib.Path or None
     internal_keys : pathlib.Path
         File with the keys that sign messages between the system's processes.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
@@ -2,8 +2,8 @@
 
 from gooseberryyoke.bundle import ENGINE, PLAIN, Replica
 from gooseberryyoke.document import (
-    AddressField,
     Choice,
+    Flag,
     Integer,
     Key,
     ListOf,
@@ -156,13 +156,22 @@
 )
 
 REPLICA = Section(
-    ReplicaSettings, Key("id", _NAME, help="As in the bundle's list of replicas.")
+    ReplicaSettings,
+    Key("id", _NAME, help="As in the bundle's list of replicas."),
+    Key(
+        "may_found",
+        Flag(),
+        default=False,
+        help="Whether it may found the durable state if all replicas are empty. True "
+        "for the first start of a deployment only: afterwards, replicas that are all "
+        "empty have lost the state, and founding it anew would let calls run twice.",
+    ),
 )
 
 _KNOWN_REPLICA = Section(
     Replica,
     Key("id", _NAME, help="As in the bundle."),
-    Key("address", AddressField(), help="Its internal address."),
+    Key("address", ListenField(), help="Its internal address."),
 )
 
 SETTINGS = Section(
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/tests/test_settings.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/tests/test_settings.py
@@ -57,6 +57,8 @@
     assert settings.sign_off.keys["anna"] == tmp_path / "keys" / "anna.pem"
     assert settings.sign_off.keys["janis"] == Path("/etc/janis.pem")
     assert settings.limits == Limits(body_bytes=1 << 20)
+    assert settings.replicas[0].address == settings.listen.internal
+    assert not settings.replica.may_found
     assert settings.agent is None
 
 
