Wire whole processes: replicas, bundles, claims, entry, agent, operators

Cause: the parts ran in sessions with a stand-in for the bundles and without claims. Ruled out: a bundle in one register (each entry would read the whole text twice a second; the newest version in short is read instead, the text only when it has changed); two rolls apart in the replicas they change (refused, at most one seat at a time); refusing requests while entries learn of a roll one after another (a request refused by an agent that knows the newer bundle is begun again under it). Change: composition root and command of the daemon; bundle keeper with a lease from the start of the confirming read; the filters claim, reserve and renew; status for operators; sessions now run the real composition on disks in memory. Conclusion: one composition serves processes and sessions.

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -0,0 +1,213 @@
+"""The composition root: wires the parts of one process."""
+
+from functools import partial
+
+from returns.result import Failure, Success
+from trio import TASK_STATUS_IGNORED, open_nursery
+
+from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.agent import AgentNode
+from gooseberryyoke_daemon.bundles import BundleKeeper
+from gooseberryyoke_daemon.claims import ClaimKeeper
+from gooseberryyoke_daemon.entry import EntryNode, Observer
+from gooseberryyoke_daemon.guard import Guard
+from gooseberryyoke_daemon.metrics import Metrics
+from gooseberryyoke_daemon.operators import Approval, OperatorRoutes
+from gooseberryyoke_daemon.process import Process
+from gooseberryyoke_daemon.registers import HttpPeer, RegisterClient
+from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.settings import load_internal_keys, load_sign_off_keys
+from gooseberryyoke_daemon.storage import FolderDisk
+from gooseberryyoke_daemon.wire import Address, HttpServer
+
+__all__ = ["Credentials", "Daemon", "load_credentials"]
+
+
+class Credentials(Record):
+    """
+    Keys that a process reads from files.
+
+    Parameters
+    ----------
+    internal_keys : dict of str to bytes
+        Keys between the system's processes; the first one signs.
+    sign_off_keys : dict of str to str
+        Public keys in PEM of those who sign bundles off.
+    """
+
+    __slots__ = ("internal_keys", "sign_off_keys")
+
+    def __init__(self, internal_keys, sign_off_keys):
+        self.internal_keys = internal_keys
+        self.sign_off_keys = sign_off_keys
+
+
+def load_credentials(settings):
+    """
+    Read the key files that settings name.
+
+    Parameters
+    ----------
+    settings : Settings
+
+    Returns
+    -------
+    Result of Credentials, list of Mistake
+    """
+    internal = load_internal_keys(settings.internal_keys)
+    sign_off = Success({})
+    if settings.sign_off is not None:
+        sign_off = load_sign_off_keys(settings.sign_off)
+    mistakes = [
+        mistake
+        for result in (internal, sign_off)
+        if isinstance(result, Failure)
+        for mistake in result.failure()
+    ]
+    if mistakes:
+        return Failure(mistakes)
+    return Success(Credentials(internal.unwrap(), sign_off.unwrap()))
+
+
+class Daemon:
+    """
+    One process with its roles.
+
+    Parameters
+    ----------
+    settings : Settings
+    credentials : Credentials
+    network : TcpNetwork or MemoryHost
+    clock : Clock
+    rng : random.Random
+    open_disk : callable, optional
+        Opens the data folder; tests pass one in memory.
+    """
+
+    def __init__(
+        self, settings, credentials, network, clock, rng, open_disk=FolderDisk
+    ):
+        self._settings = settings
+        self._credentials = credentials
+        self._open_disk = open_disk
+        self._process = Process(
+            settings.name,
+            settings.data_centre,
+            settings.listen.internal,
+            credentials.internal_keys,
+            network,
+            clock,
+            rng,
+            settings.limits,
+        )
+        self._leavers = []
+        self._routes = []
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """
+        Run all roles until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told when every port is served.
+        """
+        process = self._process
+        async with open_nursery() as nursery:
+            # Before the roles: a replica joins only once its peers reach it.
+            server = HttpServer(Guard(process.verifier, self._routes), process.limits)
+            listeners = await process.network.listen(process.internal_address)
+            await nursery.start(server.run, listeners)
+            replica = await self._start_replica(nursery)
+            await self._start_entry(nursery, replica)
+            await self._start_agent(nursery)
+            task_status.started(self)
+
+    async def stop(self):
+        """Stop all roles without cutting work; the caller then cancels `run`."""
+        async with open_nursery() as nursery:
+            for leave in self._leavers:
+                nursery.start_soon(leave)
+
+    async def _start_replica(self, nursery):
+        settings = self._settings
+        if "replica" not in settings.roles:
+            return None
+        peers = self._peers(settings.replicas)
+        peers.pop(settings.replica.id)
+        replica = Replica(
+            settings.replica.id,
+            self._open_disk(settings.data_folder),
+            peers,
+            self._process.rng,
+            may_found=settings.replica.may_found,
+        )
+        self._routes.append(replica.handle)
+        await nursery.start(replica.run)
+        return replica
+
+    async def _start_entry(self, nursery, replica):
+        settings, process = self._settings, self._process
+        if "entry" not in settings.roles:
+            return
+        peers = self._peers(settings.replicas)
+        if replica is not None:
+            peers[replica.seat] = replica
+        registers = RegisterClient(peers, process.rng, process.clock.now)
+        await nursery.start(registers.run)
+        bundles = BundleKeeper(
+            registers,
+            process.clock,
+            settings.entry.bundle_check_interval_s,
+            settings.replicas,
+            partial(self._use_replicas, registers, replica),
+        )
+        await nursery.start(bundles.run)
+        claims = ClaimKeeper(registers, process.clock.wall)
+        observer = Observer(Metrics())
+        entry = EntryNode(settings, process, bundles, claims, observer)
+        self._routes.extend(await nursery.start(entry.run))
+        self._leavers.append(entry.leave)
+        await self._start_operators(nursery, bundles, entry)
+
+    async def _start_operators(self, nursery, bundles, entry):
+        settings, process = self._settings, self._process
+        approval = Approval(
+            settings.entry.deployment,
+            self._credentials.sign_off_keys,
+            settings.sign_off.needed,
+        )
+        routes = OperatorRoutes(bundles, approval, entry.status)
+        self._leavers.append(_stopper(routes))
+        server = HttpServer(routes, process.limits)
+        listeners = await process.network.listen(settings.listen.operators)
+        await nursery.start(server.run, listeners)
+
+    async def _start_agent(self, nursery):
+        if "agent" not in self._settings.roles:
+            return
+        agent = AgentNode(self._settings, self._process)
+        self._routes.extend(await nursery.start(agent.run))
+        self._leavers.append(agent.leave)
+
+    def _use_replicas(self, registers, own, bundle):
+        peers = self._peers(bundle.durable.replicas)
+        if own is not None:
+            own.peers = {id: peer for id, peer in peers.items() if id != own.seat}
+            peers[own.seat] = own
+        registers.set_peers(peers)
+
+    def _peers(self, replicas):
+        return {
+            replica.id: HttpPeer(
+                self._process.signed_client, Address.parse(str(replica.address))
+            )
+            for replica in replicas
+        }
+
+
+def _stopper(routes):
+    async def leave():
+        routes.stop()
+
+    return leave
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -10,6 +10,11 @@
 
 __all__ = ["Dispatch"]
 
+# Refusals that say nothing about the health of the backend server.
+_NOT_A_FAULT = frozenset(
+    ["agent-full", "barred", "leaving", "old-bundle", "stale-order", "taken"]
+)
+
 
 class Dispatch:
     """
@@ -85,8 +90,9 @@
             return
         reason = result.failure().reason
         log_event("attempt-failed", request=exchange.number, attempt=number, why=reason)
-        if reason == "leaving":
+        if reason in _NOT_A_FAULT:
             self._fleet.finished(server, number, now)
-            self._fleet.left(server)
         else:
             self._fleet.failed(server, number, now)
+        if reason == "leaving":
+            self._fleet.left(server)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
@@ -33,6 +33,8 @@
         Whether the answer is passed on piece by piece.
     key : str or None
         Idempotency key of a call that may not be repeated.
+    claim_version : int
+        Version of the register of the key, for the next reservation.
     deadline_s : float
         Monotonic time by which the whole answer is due.
     demand : Demand
@@ -59,7 +61,7 @@
         "body",
         "bundle",
         "choice",
-        "claim",
+        "claim_version",
         "deadline_s",
         "delivery",
         "demand",
@@ -87,7 +89,7 @@
         self.body = {}
         self.wants_stream = False
         self.key = None
-        self.claim = None
+        self.claim_version = 0
         self.deadline_s = float("inf")
         self.demand = None
         self.choice = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -7,20 +7,26 @@
 from gooseberryyoke.membership import Directory, EntryAnnouncement, new_incarnation
 from gooseberryyoke.retry import RetryBudget
 from gooseberryyoke_daemon.announcer import Announcer
+from gooseberryyoke_daemon.claims import ClaimResolver
 from gooseberryyoke_daemon.entry.address_book import AddressBook
 from gooseberryyoke_daemon.entry.admit import Admit
 from gooseberryyoke_daemon.entry.answer_size import AnswerSizes
 from gooseberryyoke_daemon.entry.authenticate import Authenticate
 from gooseberryyoke_daemon.entry.caller import CallerRoutes
 from gooseberryyoke_daemon.entry.choose import Choose
+from gooseberryyoke_daemon.entry.claim import Claim
+from gooseberryyoke_daemon.entry.claim_support import AgentQuestions
 from gooseberryyoke_daemon.entry.classify import Classify
 from gooseberryyoke_daemon.entry.dispatch import Dispatch
 from gooseberryyoke_daemon.entry.in_flight import InFlight
 from gooseberryyoke_daemon.entry.internal import ENTRY_PATH, EntryInternalRoutes
 from gooseberryyoke_daemon.entry.link import AgentLink
 from gooseberryyoke_daemon.entry.pipeline import Pipeline
+from gooseberryyoke_daemon.entry.renew import Renew
+from gooseberryyoke_daemon.entry.reserve import Reserve
 from gooseberryyoke_daemon.entry.retry import Retry
 from gooseberryyoke_daemon.entry.roster import Roster
+from gooseberryyoke_daemon.entry.status import Status
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import HttpServer
 
@@ -44,16 +50,19 @@
         What all roles of the process share.
     bundles : BundleKeeper
         Gives the bundle in force.
+    claims : ClaimKeeper
+        Keeps the calls that may not be repeated.
     observer : Observer
         Takes the figures of each exchange.
     """
 
-    def __init__(self, settings, process, bundles, observer):
+    def __init__(self, settings, process, bundles, claims, observer):
         self._settings = settings.entry
         self._listen = settings.listen.callers
         self._url = _public_url(settings)
         self._process = process
         self._bundles = bundles
+        self._claims = claims
         self._observer = observer
         self._stopped = Event()
         self.incarnation = new_incarnation(process.clock.wall(), process.rng)
@@ -69,6 +78,7 @@
             process.clock,
             _DEFAULT_MAX_AGE_S,
         )
+        self._status = Status(process, self._addresses, self._entries, self._servers)
         self._announcer = Announcer(
             process.signed_client,
             [peer for peer in settings.entries if peer != process.internal_address],
@@ -113,6 +123,17 @@
         self._server.stop_accepting()
         await self._stopped.wait()
 
+    def status(self):
+        """
+        Tell operators what this entry knows.
+
+        Returns
+        -------
+        dict
+            As `OperatorRoutes` needs it.
+        """
+        return self._status.show(self._bundles.current())
+
     async def _serve_callers(self, listeners):
         await self._server.run(listeners)
         self._stopped.set()
@@ -142,11 +163,18 @@
         )
         sizes = AnswerSizes()
         return [
+            Renew(self._bundles.check_now),
             Authenticate(self._bundles.current, self._addresses.others),
             Classify(clock, sizes),
+            Claim(
+                ClaimResolver(self._claims, AgentQuestions(link, clock).ask),
+                nursery,
+                clock,
+            ),
             Admit(Admission(), self._fleet, clock, rng),
             Retry(RetryBudget(), clock),
             Choose(process.name, self._fleet, self._servers, clock, rng),
+            Reserve(self._claims),
             Dispatch(link, self._fleet, self._in_flight, sizes, clock),
         ]
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -2,11 +2,13 @@
 
 from returns.result import Success
 
+from gooseberryyoke_daemon.entry.claim_support import CONTENDED, NO_MAJORITY
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["Retry"]
 
 _REROUTED = frozenset(["leaving", "agent-full", "other-incarnation"])
+_LEFT_TO_OTHERS = frozenset([CONTENDED, NO_MAJORITY, "old-bundle"])
 
 
 class Retry:
@@ -34,7 +36,7 @@
             if isinstance(result, Success):
                 return result
             refusal = result.failure()
-            if exchange.server is None:
+            if exchange.server is None or refusal.reason in _LEFT_TO_OTHERS:
                 return result
             decision = self._decide(exchange, refusal, rerouted)
             rerouted += refusal.reason in _REROUTED
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -6,10 +6,8 @@
 from gooseberryyoke_daemon.wire import Address, ExchangeBroken
 
 
-async def small_system(session, engines, services=(), entries=1):
-    session.plan_entries(entries)
-    for index in range(entries):
-        await session.entry(index + 1)
+async def small_system(session, engines, services=()):
+    await session.start()
     for index, engine in enumerate(engines):
         name, host = f"llm{index + 1}", f"10.0.1.{index + 1}"
         await session.server(name, host, "draw-llm", ["heat-draw"], engine)
@@ -200,7 +198,7 @@
             async for chunk in reply.chunks():
                 if not got:
                     busy = next(i for i, e in enumerate(engines) if e.running)
-                    session.nursery.start_soon(session.nodes[f"llm{busy + 1}"].leave)
+                    session.nursery.start_soon(session.daemons[f"llm{busy + 1}"].stop)
                 got += chunk
                 if len(got) < 50:
                     other = await session.draw("new work")
@@ -220,12 +218,13 @@
     """
 
     async def body(session):
-        await small_system(session, [FakeEngine()], entries=2)
-        session.nursery.start_soon(session.nodes["e1"].leave)
+        await small_system(session, [FakeEngine()])
+        session.nursery.start_soon(session.daemons["e1"].stop)
         await sleep(0.5)
         for entry in (1, 2):
             listed = await session.call("GET", "/v1/entries", entry=entry)
-            assert listed.json()["entries"] == ["http://10.0.0.2:8000"]
+            urls = set(listed.json()["entries"])
+            assert urls == {"http://10.0.0.2:8000", "http://10.0.0.3:8000"}
         await sleep(4.4)
         assert (await session.draw("late", entry=1)).status == 200
         await sleep(3.0)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -1,26 +1,34 @@
 """A whole system in memory: entries, agents and fakes on a network that can fail."""
 
+from functools import partial
 from random import Random
 
 from orjson import dumps, loads
 from trio import TASK_STATUS_IGNORED, CancelScope, open_nursery, run, sleep
 from trio.testing import MockClock
 
-from gooseberryyoke.bundle import ENGINE, PLAIN, key_hash, parse_bundle
+from gooseberryyoke.bundle import (
+    ENGINE,
+    PLAIN,
+    Envelope,
+    Replica,
+    key_hash,
+    parse_bundle,
+)
+from gooseberryyoke.bundle.signature import make_key_pair, sign
 from gooseberryyoke.record import Record
-from gooseberryyoke_daemon.agent import AgentNode
 from gooseberryyoke_daemon.clock import Clock
-from gooseberryyoke_daemon.entry import EntryNode
-from gooseberryyoke_daemon.guard import Guard
-from gooseberryyoke_daemon.process import Process
+from gooseberryyoke_daemon.compose import Credentials, Daemon
 from gooseberryyoke_daemon.settings import (
     AgentSettings,
     EntrySettings,
     Listen,
+    ReplicaSettings,
     Server,
     Settings,
+    SignOff,
 )
-from gooseberryyoke_daemon.testing.observer import RecordingObserver
+from gooseberryyoke_daemon.storage.memory import MemoryDisk
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -37,6 +45,10 @@
 _CALLER_PORT = 8000
 _INTERNAL_PORT = 9000
 _SERVER_PORT = 7000
+_OPERATOR_PORT = 8500
+_SETTLED_S = 2.0
+ENTRIES = 4
+REPLICAS = 3
 
 BUNDLE_TEXT = f"""\
 version: 1
@@ -64,22 +76,15 @@
     repeatable: false
     default_patience_s: 5
 durable:
-  replicas: [{{id: r1, address: 10.0.0.1:9000}}]
+  bundle_lease_s: 2
+  replicas:
+    - {{id: r1, address: 10.0.0.1:9000}}
+    - {{id: r2, address: 10.0.0.2:9000}}
+    - {{id: r3, address: 10.0.0.3:9000}}
 stop: {{max_age_s: 5, drain_s: 30}}
 """
 
 
-class StaticBundles:
-    """Stands in for the keeper of bundles."""
-
-    def __init__(self, text=BUNDLE_TEXT):
-        self.bundle = parse_bundle(text).unwrap()
-
-    def current(self):
-        """Give the bundle, None to stand for a lost lease."""
-        return self.bundle
-
-
 class Reply(Record):
     """What a caller got."""
 
@@ -119,43 +124,70 @@
         self.network = MemoryNetwork(latency_s=0.001)
         self.rng = Random(seed)
         self.clock = Clock(wall=lambda: _EPOCH_S + self.clock.now())
-        self.bundles = StaticBundles()
         self.scopes = {}
-        self.nodes = {}
-        self.observer = RecordingObserver()
-        self._entries = []
+        self.daemons = {}
+        self.disks = {}
+        self._private_key, self._public_key = make_key_pair()
         self._client = HttpClient(self.network.host("caller"), Limits())
 
-    def plan_entries(self, count):
-        """Give the internal addresses of entries that will be started."""
-        self._entries = [
-            Address(f"10.0.0.{index + 1}", _INTERNAL_PORT) for index in range(count)
-        ]
-
-    async def entry(self, index):
-        """Start an entry; its name is ``e`` with its number from 1."""
-        address = self._entries[index - 1]
-        listen = Listen(address, Address(address.host, _CALLER_PORT))
-        entry = EntrySettings("session", None, 0.5, 2.0, 1.5, 0.5)
-        settings = self._settings(f"e{index}", "entry", listen, entry=entry)
-        process = self._process(f"e{index}", address)
-        node = EntryNode(settings, process, self.bundles, self.observer)
-        await self._start(f"e{index}", node, process)
-        return node
+    async def start(self, entries=REPLICAS):
+        """Start the first entries, three of them with replicas, and roll a bundle."""
+        async with open_nursery() as nursery:
+            for number in range(1, entries + 1):
+                nursery.start_soon(partial(self.entry, number, may_found=True))
+        await self.roll(BUNDLE_TEXT)
+        await sleep(_SETTLED_S)
+
+    async def entry(self, number, may_found=False):
+        """Start entry ``e`` with its number; the first three hold replicas."""
+        name, host = f"e{number}", f"10.0.0.{number}"
+        listen = Listen(
+            Address(host, _INTERNAL_PORT),
+            Address(host, _CALLER_PORT),
+            Address(host, _OPERATOR_PORT),
+        )
+        settings = self._settings(
+            name,
+            listen,
+            roles=("entry", "replica") if number <= REPLICAS else ("entry",),
+            entry=EntrySettings("session", None, 0.5, 2.0, 1.5, 0.5),
+            replica=ReplicaSettings(f"r{number}", may_found),
+        )
+        return await self._start(settings, host)
 
     async def server(self, name, host, service, models, handler):
         """Start a fake backend server and its agent, on one host."""
         await self.nursery.start(self._serve_fake, f"{name}.server", host, handler)
-        address = Address(host, _INTERNAL_PORT)
+        return await self.agent(name, host, service, models)
+
+    async def agent(self, name, host, service, models):
+        """Start the agent beside a backend server."""
         kind = ENGINE if models else PLAIN
-        server_address = Address(host, _SERVER_PORT)
-        server = Server(name, server_address, kind, service, models, "/load")
-        agent = AgentSettings(server, 0.5, 0.5, 0.5, 3.0)
-        settings = self._settings(name, "agent", Listen(address), agent=agent)
-        process = self._process(name, address)
-        node = AgentNode(settings, process)
-        await self._start(name, node, process)
-        return node
+        address = Address(host, _SERVER_PORT)
+        server = Server(name, address, kind, service, models, "/load")
+        settings = self._settings(
+            name,
+            Listen(Address(host, _INTERNAL_PORT)),
+            roles=("agent",),
+            agent=AgentSettings(server, 0.5, 0.5, 0.5, 3.0),
+        )
+        return await self._start(settings, host)
+
+    async def roll(self, text, entry=1):
+        """
+        Sign a bundle off and send it to an entry, as the operators' client does.
+
+        Returns
+        -------
+        JsonReply
+        """
+        bundle = parse_bundle(text).unwrap()
+        about = (bundle.deployment, bundle.version, bundle.digest)
+        envelope = sign(Envelope(*about, text), "chief", self._private_key)
+        address = Address(f"10.0.0.{entry}", _OPERATOR_PORT)
+        return await self._client.json(
+            "POST", address, "/operator/bundle", envelope.to_payload(), timeout_s=20
+        )
 
     def kill(self, name):
         """End a process without any farewell."""
@@ -170,14 +202,14 @@
         Reply
         """
         request = self.request(method, target, payload, **headers)
-        address = Address(self._entries[entry - 1].host, _CALLER_PORT)
+        address = Address(f"10.0.0.{entry}", _CALLER_PORT)
         async with self._client.open(address, request) as reply:
             return Reply(reply.status, reply.headers, await reply.read())
 
     def stream(self, payload, entry=1):
         """Open a streamed chat completion; an async context with the reply."""
         request = self.request("POST", "/v1/chat/completions", payload)
-        address = Address(self._entries[entry - 1].host, _CALLER_PORT)
+        address = Address(f"10.0.0.{entry}", _CALLER_PORT)
         return self._client.open(address, request)
 
     def request(self, method, target, payload=None, **headers):
@@ -192,49 +224,47 @@
         payload = chat(question, stream)
         return await self.call("POST", "/v1/chat/completions", payload, entry)
 
-    def _settings(self, name, role, listen, entry=None, agent=None):
+    def _settings(self, name, listen, roles, entry=None, agent=None, replica=None):
+        hosts = [f"10.0.0.{number}" for number in range(1, ENTRIES + 1)]
+        addresses = [Address(host, _INTERNAL_PORT) for host in hosts]
+        replicas = [
+            Replica(f"r{number}", str(address))
+            for number, address in enumerate(addresses[:REPLICAS], 1)
+        ]
         return Settings(
             name,
             "dc1",
-            (role,),
+            roles,
             listen,
-            tuple(self._entries),
-            (),
-            None,
-            None,
+            tuple(addresses),
+            tuple(replicas),
+            name,
             None,
+            SignOff({"chief": None}, 1),
             None,
             Limits(),
             "info",
             entry,
             agent,
-            None,
+            replica,
         )
 
-    def _process(self, name, address):
-        return Process(
-            name,
-            "dc1",
-            address,
-            _KEYS,
-            self.network.host(address.host),
+    async def _start(self, settings, host):
+        daemon = Daemon(
+            settings,
+            Credentials(_KEYS, {"chief": self._public_key}),
+            self.network.host(host),
             self.clock,
             Random(self.rng.getrandbits(64)),
-            Limits(),
+            lambda name: self.disks.setdefault(name, MemoryDisk()),
         )
+        self.daemons[settings.name] = daemon
+        await self.nursery.start(self._run, settings.name, daemon)
+        return daemon
 
-    async def _start(self, name, node, process):
-        self.nodes[name] = node
-        await self.nursery.start(self._run_node, name, node, process)
-
-    async def _run_node(self, name, node, process, task_status=TASK_STATUS_IGNORED):
+    async def _run(self, name, daemon, task_status=TASK_STATUS_IGNORED):
         with CancelScope() as self.scopes[name]:
-            async with open_nursery() as nursery:
-                routes = await nursery.start(node.run)
-                server = HttpServer(Guard(process.verifier, routes), process.limits)
-                listeners = await process.network.listen(process.internal_address)
-                await nursery.start(server.run, listeners)
-                task_status.started()
+            await daemon.run(task_status)
 
     async def _serve_fake(self, name, host, handler, task_status=TASK_STATUS_IGNORED):
         with CancelScope() as self.scopes[name]:
