Read documents without YAML's types and find lines when asked

Cause: a bundle of 11,000 accounts takes more memory to read than an entry has.

Ruled out: a reader of our own (positions come from the library); giving up lines for long documents.

Change: loaders without resolvers, as fields read the text themselves; explicit tags are refused; lines of paths are looked up in the nodes when a check asks.

--- a/packages/gooseberryyoke/src/gooseberryyoke/document/collection.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/collection.py
@@ -36,7 +36,6 @@
             report.add(child_path, message, line)
             continue
         seen[name] = line
-        report.place(child_path, line)
         yield name, child_path, key_node, value_node
 
 
@@ -64,7 +63,6 @@
         values = []
         for index, child in enumerate(node.value):
             child_path = f"{path}[{index}]"
-            report.place(child_path, child.start_mark.line + 1)
             values.append(self.item.check(child, child_path, report))
         return INVALID if INVALID in values else tuple(values)
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/reader.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/reader.py
@@ -8,14 +8,17 @@
 from gooseberryyoke.document.field import INVALID
 from gooseberryyoke.document.report import Report
 
+# The loaders without resolvers: fields read the text of scalars themselves, and
+# resolving each into a YAML 1.1 type takes longer than all checks together.
 try:
-    from yaml import CSafeLoader as SafeLoader
+    from yaml import CBaseLoader as BaseLoader
 except ImportError:
-    from yaml import SafeLoader
+    from yaml import BaseLoader
 
 __all__ = ["MOST_CHARACTERS", "check_document"]
 
 MOST_CHARACTERS = 16 * 1024 * 1024
+_PLAIN_TAGS = frozenset(f"tag:yaml.org,2002:{name}" for name in ("map", "seq", "str"))
 
 
 def check_document(text, field, *cross_checks):
@@ -67,7 +70,7 @@
         report.add("", message, 1)
         return None
     try:
-        root = compose(text, Loader=SafeLoader)
+        root = compose(text, Loader=BaseLoader)
     except MarkedYAMLError as exc:
         _add_syntax_mistake(exc, report)
         return None
@@ -84,8 +87,8 @@
     if root is None:
         report.add("", "found nothing, expected a YAML document", 1)
         return None
-    report.place("", root.start_mark.line + 1)
-    _refuse_aliases(root, report)
+    report.root = root
+    _refuse_aliases_and_tags(root, report)
     return root
 
 
@@ -101,20 +104,25 @@
     report.add("", message, line)
 
 
-def _refuse_aliases(root, report):
+def _refuse_aliases_and_tags(root, report):
     # An alias makes one node stand in several places. One inside its own anchor would
     # make the check run for ever, and nested ones make a small text expand without
     # bound; a document whose nodes all stand in one place is no larger than its text.
-    seen = {id(root)}
+    seen = set()
     waiting = [root]
     while waiting:
-        for child in _children(waiting.pop()):
-            if id(child) in seen:
-                line = child.start_mark.line + 1
-                report.add("", "found an alias, expected the value written out", line)
-                return
-            seen.add(id(child))
-            waiting.append(child)
+        node = waiting.pop()
+        if id(node) in seen:
+            _add_node_mistake(node, "an alias, expected the value written out", report)
+            return
+        if node.tag not in _PLAIN_TAGS:
+            _add_node_mistake(node, f"the tag {node.tag}, expected none", report)
+        seen.add(id(node))
+        waiting.extend(_children(node))
+
+
+def _add_node_mistake(node, found, report):
+    report.add("", f"found {found}", node.start_mark.line + 1)
 
 
 def _children(node):
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/scalar.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/scalar.py
@@ -17,7 +17,7 @@
 
 NAME_PATTERN = r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}"
 
-_NULL_TAG = "tag:yaml.org,2002:null"
+_NULLS = frozenset(("", "~", "null", "Null", "NULL"))
 _INTEGER = re.compile(r"-?(?:0|[1-9][0-9]{0,17})")
 _NUMBER = re.compile(r"-?[0-9]{1,18}(?:\.[0-9]{1,18})?(?:e[+-]?[0-9]{1,2})?")
 
@@ -32,10 +32,13 @@
 
     def check(self, node, path, report):
         """Check one scalar; see `Field.check`."""
-        if node.id != "scalar" or node.tag == _NULL_TAG:
+        if node.id != "scalar":
+            return self.refuse(node, path, report)
+        quoted = node.style in ("'", '"')
+        if not quoted and node.value in _NULLS:
             return self.refuse(node, path, report)
         try:
-            return self.parse(node.value, quoted=node.style in ("'", '"'))
+            return self.parse(node.value, quoted)
         except ValueError:
             return self.refuse(node, path, report)
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/tests/test_document.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/tests/test_document.py
@@ -107,6 +107,7 @@
         ("name: ā\nzone: \ud800", 2),
         ("", 1),
         ("[" * 5000, 1),
+        ("name: a\nzone: !!binary UTC", 2),
     ],
 )
 def test_text_that_is_not_one_yaml_document_is_refused(text, line):
@@ -127,6 +128,19 @@
     assert "alias" in mistakes("\n".join(lines))[0]
 
 
+def test_a_path_with_dotted_names_finds_its_line():
+    field = Section(dict, Key("m", MapOf(MapOf(ListOf(Integer())))))
+    found = []
+
+    def look(value, report):
+        for path in ("m.a.b[1]", "m.a.b.c[0]", "m.a.b.c.d", "m.a.b.c.d[9]", "m.z"):
+            found.append(report.line(path))
+
+    text = "m:\n  a:\n    b:\n    - 1\n    - 2\n  a.b:\n    c: [1]\n    c.d:\n    - 5"
+    check_document(text, field, look)
+    assert found == [5, 7, 8, 8, 1]
+
+
 def test_cross_checks_run_on_right_fields_only():
     def refuse(value, report):
         report.add("classes.draw[0].until", f"found {value['name']!r}, expected 'y'")
