Tell leases of all older bundles at a roll; end operations without a crash

Cause 1: the lease told at a roll covered the bundle before it only. An entry cut off since two bundles ago may hold a longer one: the roll was reported as done while that entry still served by it.

Cause 3: a bundle could add or drop a replica. Two removals in a row can leave a majority that has not seen an acknowledged write, as the remaining replicas don't copy in between. The number of replicas must now stay; one seat at a time may move.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
@@ -176,14 +176,12 @@
         written = await self._registers.write(key, kept, content, _ACCEPT_TIMEOUT_S)
         if isinstance(written, Failure):
             return self._retry_on_conflict(written)
-        own_lease_s = bundle.durable.bundle_lease_s
-        old_lease_s = 0.0 if head is None else head.own_lease_s
+        leases_s = [*(head.leases_s if head else ()), bundle.durable.bundle_lease_s]
         new = Head(
             bundle.version,
             bundle.digest,
             lines[0].signers,
-            max(own_lease_s, old_lease_s),
-            own_lease_s,
+            leases_s[-_KEPT_VERSIONS:],
         )
         settled = await self._registers.write(
             HEAD_KEY, head_version, new.to_json(), _ACCEPT_TIMEOUT_S
@@ -246,15 +244,20 @@
 
     def _check_replicas(self, previous, bundle):
         # Two seats changed at once could make a majority of holders that have
-        # never seen what the old majority has acknowledged.
+        # never seen what the old majority has acknowledged. So could two removals in
+        # a row, as what is left does not copy a majority's state in between.
         before = _seats(self._replicas)
         if previous is not None:
             before = _seats(open_envelope(previous.envelope).unwrap().durable.replicas)
-        changed = {seat for seat, _ in before ^ _seats(bundle.durable.replicas)}
-        if len(changed) <= 1:
+        after = _seats(bundle.durable.replicas)
+        changed = {seat for seat, _ in before ^ after}
+        if len(changed) <= 1 and len(before) == len(after):
             return None
         names = ", ".join(sorted(changed))
-        detail = f"found changes of {names}, expected at most one replica to change"
+        detail = (
+            f"found changes of {names}, expected at most one replica to change "
+            f"and {len(before)} replicas as before"
+        )
         return Failure(MistakesFound([Mistake("durable.replicas", 0, detail)]))
 
     def _no_majority(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/stored.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/stored.py
@@ -23,20 +23,24 @@
     version : int
     digest : str
     signers : tuple of str
-    lease_s : float
-        After so long from its acceptance no entry serves by an older bundle.
-    own_lease_s : float
-        The lease that the bundle itself states.
+    leases_s : tuple of float
+        The leases that the last bundles state, this one's last.
     """
 
-    __slots__ = ("version", "digest", "signers", "lease_s", "own_lease_s")
+    __slots__ = ("version", "digest", "signers", "leases_s")
 
-    def __init__(self, version, digest, signers, lease_s, own_lease_s):
+    def __init__(self, version, digest, signers, leases_s):
         self.version = version
         self.digest = digest
         self.signers = tuple(signers)
-        self.lease_s = lease_s
-        self.own_lease_s = own_lease_s
+        self.leases_s = tuple(leases_s)
+
+    @property
+    def lease_s(self):
+        """After so long from its acceptance no entry serves by an older bundle."""
+        # An entry cut off since some bundles ago may still hold a lease longer than
+        # those of the bundles that it has missed.
+        return max(self.leases_s)
 
     def to_json(self):
         """Give the fields as a JSON object."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/client.py
@@ -64,7 +64,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._nursery = None
 
     def set_peers(self, peers):
         """
@@ -203,7 +206,11 @@
 
     def _dispatch(self, peers, outbound, send):
         for out in outbound:
-            self._nursery.start_soon(_call, peers[out.seat], out, send)
+            if self._nursery is None:
+                # The process ends: other tasks may come here before they hear so.
+                _hand_over(send, out.seat, None)
+            else:
+                self._nursery.start_soon(_call, peers[out.seat], out, send)
 
 
 async def _call(peer, out, send):
@@ -211,8 +218,12 @@
         reply = await peer.call(out.message)
     except PeerFailed:
         reply = None
+    _hand_over(send, out.seat, reply)
+
+
+def _hand_over(send, seat, reply):
     try:
-        send.send_nowait((out.seat, reply))
+        send.send_nowait((seat, reply))
     except (trio.BrokenResourceError, trio.ClosedResourceError, trio.WouldBlock):
         # The operation has ended, or so many late replies wait that its next
         # round will go without this one.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
@@ -297,3 +297,20 @@
 
     with pytest.raises(ExceptionGroup):
         trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_operation_outlives_its_client_without_a_crash():
+    """
+    A process that stops ends quietly. The task that carries the client's calls
+    was cancelled first, and an operation that had not heard of it yet died of
+    "Nursery is closed to new arrivals"; it must end as unavailable instead.
+    """
+
+    async def main(replicas, client):
+        ended = RegisterClient(client._peers, replicas.rng)
+        with trio.move_on_after(1):
+            await ended.run()
+        failure = (await ended.write("k", 0, "a", T)).failure()
+        assert isinstance(failure, Unavailable) and not failure.may_have_written
+
+    run(main)
