Keep cryptography out of agents; tell of a roll that was replaced meanwhile

Cause: every program imported cryptography through the operators' routes, though agents have a slot of 48 MB; and an operator whose answers were lost was told that her bundle is older, though it had been in force.

Ruled out: a program of its own for agents (two binaries are asked for).

Change: SignatureProblem stands beside the envelope, verify is imported where an envelope is checked; roll asks the history when it is refused as older, and waits out the leases then too.

A test starts the program and fails if cryptography comes along; it did before the change.

--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/commands/roll.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/commands/roll.py
@@ -3,6 +3,7 @@
 import click
 from returns.result import Failure
 
+from gooseberryyoke.bundle import parse_bundle
 from gooseberryyoke_client.answer import Answer, mistakes_answer
 from gooseberryyoke_client.exceptions import EntryUnreachableError
 from gooseberryyoke_client.exit_codes import ExitCode
@@ -39,6 +40,8 @@
     address, status, payload = session.ask(
         "POST", "/operator/bundle", envelope.to_payload()
     )
+    if payload.get("reason") == "older" and _was_accepted(session, envelope):
+        return _replaced(session, envelope, payload["winner"])
     if status != 200:
         return refusal_answer(address, status, payload)
     _tell(session, f"version {payload['version']} accepted{_again(payload)}")
@@ -46,6 +49,33 @@
     return _answer(envelope, payload, holders, _newest(session))
 
 
+def _was_accepted(session, envelope):
+    # The answer to the first try was lost, and by now somebody has rolled a newer
+    # bundle. "Refused" would make the operator roll an old content once more.
+    _, status, payload = session.ask("GET", "/operator/history")
+    mine = (envelope.version, envelope.digest)
+    return status == 200 and any(
+        (line["version"], line["digest"]) == mine for line in payload["versions"]
+    )
+
+
+def _replaced(session, envelope, winner):
+    holders = _wait(session, winner["version"], _lease_s(session, envelope))
+    lines = [
+        f"version {envelope.version} was accepted, and has been replaced since",
+        f"  version {winner['version']} is in force, digest {winner['digest']}",
+    ]
+    payload = {"version": envelope.version, "replaced_by": winner, "holders": holders}
+    return Answer(ExitCode.DONE, lines, payload)
+
+
+def _lease_s(session, envelope):
+    _, status, payload = session.ask("GET", "/operator/bundle")
+    texts = [envelope.text, payload["text"]] if status == 200 else [envelope.text]
+    bundles = [parse_bundle(text).value_or(None) for text in texts]
+    return max(bundle.durable.bundle_lease_s for bundle in bundles if bundle)
+
+
 def _wait(session, version, lease_s):
     end_s = session.monotonic() + lease_s * _CLOCK_DRIFT + _MARGIN_S
     holders, told = {}, None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/answers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/answers.py
@@ -2,7 +2,7 @@
 
 from functools import singledispatch
 
-from gooseberryyoke.bundle.signature import SignatureProblem
+from gooseberryyoke.bundle import SignatureProblem
 from gooseberryyoke_daemon.operators.approval import MistakesFound
 from gooseberryyoke_daemon.operators.keeper import Conflict, NoMajority, OlderVersion
 from gooseberryyoke_daemon.wire import json_response
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/approval.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/approval.py
@@ -4,7 +4,6 @@
 from trio.to_thread import run_sync
 
 from gooseberryyoke.bundle import Envelope, open_envelope
-from gooseberryyoke.bundle.signature import verify
 from gooseberryyoke.document import Mistake
 from gooseberryyoke.record import Record
 
@@ -59,13 +58,17 @@
         -------
         returns.result.Result
             ``Success`` of (Envelope, Bundle); ``Failure`` of `MistakesFound` or of
-            `gooseberryyoke.bundle.signature.SignatureProblem`.
+            `gooseberryyoke.bundle.SignatureProblem`.
         """
         envelope = Envelope.from_payload(payload)
         if isinstance(envelope, Failure):
             detail = envelope.failure()
             return Failure(MistakesFound([Mistake("envelope", 0, detail)]))
         envelope = envelope.unwrap()
+        # Imported here: one program has all roles, and an agent, which never comes
+        # this way, hasn't the memory to spare that cryptography takes.
+        from gooseberryyoke.bundle.signature import verify
+
         # Signatures first: whoever can't sign shouldn't have long texts parsed.
         verified = verify(envelope, self._trusted_keys, self._needed)
         if isinstance(verified, Failure):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/tests/test_operators.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/tests/test_operators.py
@@ -1,4 +1,6 @@
 import json
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -220,3 +222,17 @@
 def test_nothing_changed_gives_no_lines():
     state = {"entry": "e", "bundle": {"version": 1, "digest": "ab"}, "agents": []}
     assert changes(state, dict(state)) == []
+
+
+def test_the_program_starts_without_cryptography():
+    """
+    An agent runs the same program as an entry, in a slot of 48 MB.
+
+    Cryptography alone takes about a sixth of that; loaded with the program, it would
+    be paid by every agent, none of which ever checks a signature.
+    """
+    script = "import sys, gooseberryyoke_daemon.command; print(*sys.modules)"
+    run = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    assert not {"cryptography", "numpy"} & set(run.stdout.split())
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/__init__.py
@@ -2,7 +2,7 @@
 
 from gooseberryyoke.bundle.account import Account, key_hash
 from gooseberryyoke.bundle.bundle import Bundle
-from gooseberryyoke.bundle.envelope import Envelope, Signature
+from gooseberryyoke.bundle.envelope import Envelope, Signature, SignatureProblem
 from gooseberryyoke.bundle.exceptions import UnusableKeyError
 from gooseberryyoke.bundle.patience import Patience, PatienceWindow
 from gooseberryyoke.bundle.provision import (
@@ -39,6 +39,7 @@
     "RetryLimits",
     "Service",
     "Signature",
+    "SignatureProblem",
     "Stop",
     "bundle_content",
     "canonical_path",
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/envelope.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/envelope.py
@@ -4,7 +4,7 @@
 
 from gooseberryyoke.record import Record
 
-__all__ = ["Envelope", "Signature", "signed_bytes"]
+__all__ = ["Envelope", "Signature", "SignatureProblem", "signed_bytes"]
 
 _SHOWN_CHARACTERS = 60
 
@@ -48,6 +48,27 @@
         self.value = value
 
 
+class SignatureProblem(Record):
+    """
+    Why an envelope isn't signed off.
+
+    Parameters
+    ----------
+    detail : str
+    good : tuple of str
+        Signers whose signatures are right.
+    needed : int
+        How many were needed.
+    """
+
+    __slots__ = ("detail", "good", "needed")
+
+    def __init__(self, detail, good, needed):
+        self.detail = detail
+        self.good = good
+        self.needed = needed
+
+
 class Envelope(Record):
     """
     A bundle's text with its signatures.
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/signature.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/signature.py
@@ -23,32 +23,10 @@
 )
 from returns.result import Failure, Success
 
-from gooseberryyoke.bundle.envelope import Signature, signed_bytes
+from gooseberryyoke.bundle.envelope import Signature, SignatureProblem, signed_bytes
 from gooseberryyoke.bundle.exceptions import UnusableKeyError
-from gooseberryyoke.record import Record
 
-__all__ = ["SignatureProblem", "make_key_pair", "sign", "verify"]
-
-
-class SignatureProblem(Record):
-    """
-    Why an envelope isn't signed off.
-
-    Parameters
-    ----------
-    detail : str
-    good : tuple of str
-        Signers whose signatures are right.
-    needed : int
-        How many were needed.
-    """
-
-    __slots__ = ("detail", "good", "needed")
-
-    def __init__(self, detail, good, needed):
-        self.detail = detail
-        self.good = good
-        self.needed = needed
+__all__ = ["make_key_pair", "sign", "verify"]
 
 
 def make_key_pair():
