Add leases with fencing numbers on registers

Whatever needs one holder (a group's expert map, orders to engines) needs a holder that is wrong about being in charge to do no harm.

A lease is a register with holder, number and length. No clock is shared: a waiting process counts a term from when it first saw the register's version, the holder from before its own write. The number grows with each holder and is never deleted; the gate at the receiver refuses lower ones.

Ruled out: wall-clock end times in the register (two clocks apart make two holders), the version as the number (it changes with each renewal).

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
@@ -0,0 +1,142 @@
+import pytest
+import trio
+import trio.testing
+
+from gooseberryyoke.lease import FencingGate
+from gooseberryyoke_daemon.leases import LeaseKeeper
+from gooseberryyoke_daemon.replica.memory import MemoryReplicas
+
+TTL_S = 6.0
+
+
+class Holder:
+    """A process that competes for a lease; its clock goes on while it is frozen."""
+
+    def __init__(self, keeper, scope):
+        self.keeper = keeper
+        self.scope = scope
+
+    @property
+    def number(self):
+        grant = self.keeper.grant()
+        return None if grant is None else grant.number
+
+
+def run(main, **options):
+    async def body():
+        with trio.fail_after(3600):
+            async with trio.open_nursery() as nursery:
+                replicas = MemoryReplicas(nursery, **options)
+                await replicas.start_all()
+
+                async def start(name):
+                    client = await replicas.client(name)
+                    keeper = LeaseKeeper(
+                        client, "group", name, trio.current_time, replicas.rng, TTL_S
+                    )
+                    scope = await nursery.start(_run, keeper)
+                    return Holder(keeper, scope)
+
+                await main(replicas, start)
+                nursery.cancel_scope.cancel()
+
+    trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def _run(keeper, task_status):
+    with trio.CancelScope() as scope:
+        task_status.started(scope)
+        await keeper.run()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_one_holder_at_every_moment(seed):
+    async def main(replicas, start):
+        holders = [await start(name) for name in ("a", "b", "c")]
+        numbers = []
+        for step in range(600):
+            await trio.sleep(0.1)
+            if step % 97 == 50:
+                replicas.cut(replicas.rng.choice("abc"), "r1")
+                replicas.cut(replicas.rng.choice("abc"), "r2")
+            if step % 97 == 0:
+                replicas.heal()
+            held = [holder.number for holder in holders if holder.number]
+            assert len(held) <= 1
+            numbers += held
+        assert numbers == sorted(numbers)
+        assert len(numbers) > 300
+
+    run(main, seed=seed, latency_s=0.01)
+
+
+def test_frozen_holder_finds_its_lease_over_and_its_number_refused():
+    """
+    No order of a frozen holder is carried out. It stops in the middle of its
+    work, another takes the lease and gives an order, and it wakes up.
+    """
+
+    async def main(replicas, start):
+        first = await start("a")
+        await trio.sleep(1)
+        old_number = first.number
+        first.scope.cancel()
+        second = await start("b")
+        await trio.sleep(3 * TTL_S)
+        assert first.number is None
+        gate = FencingGate()
+        gate.admit("group", second.number).unwrap()
+        assert gate.admit("group", old_number).failure().highest == second.number
+
+    run(main)
+
+
+def test_isolated_holder_stops_before_another_begins():
+    async def main(replicas, start):
+        first = await start("a")
+        await trio.sleep(1)
+        for seat in replicas.seats:
+            replicas.cut("a", seat)
+        second = await start("b")
+        while second.number is None:
+            await trio.sleep(0.05)
+            both = first.number is not None and second.number is not None
+            assert not both
+        assert first.number is None
+
+    run(main)
+
+
+def test_released_lease_is_taken_without_waiting_for_its_end():
+    async def main(replicas, start):
+        first = await start("a")
+        second = await start("b")
+        await trio.sleep(1)
+        holder, other = (first, second) if first.number else (second, first)
+        number = holder.number
+        await holder.keeper.release()
+        await trio.sleep(TTL_S / 2)
+        assert holder.number is None
+        assert other.number == number + 1
+
+    run(main)
+
+
+def test_restarted_holder_gets_a_new_number():
+    """
+    Orders of a process's earlier life are refused. It restarts within its term;
+    its new life has another identity and waits for the term to end.
+    """
+
+    async def main(replicas, start):
+        first = await start("a-1")
+        await trio.sleep(1)
+        number = first.number
+        first.scope.cancel()
+        again = await start("a-2")
+        await trio.sleep(1)
+        assert again.number is None
+        await trio.sleep(3 * TTL_S)
+        assert again.number > number
+
+    run(main)
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/lease/__init__.py
@@ -0,0 +1,26 @@
+"""Leases with fencing numbers, for whatever needs one holder."""
+
+from gooseberryyoke.lease.fencing import FencingGate, StaleNumber
+from gooseberryyoke.lease.lease import (
+    Grant,
+    Lease,
+    LeaseView,
+    Renew,
+    Take,
+    Wait,
+    lease_from_value,
+    lease_key,
+)
+
+__all__ = [
+    "FencingGate",
+    "Grant",
+    "Lease",
+    "LeaseView",
+    "Renew",
+    "StaleNumber",
+    "Take",
+    "Wait",
+    "lease_from_value",
+    "lease_key",
+]
