Change expert maps in one step on all ranks of a group

All ranks of a group must use one expert map in every step, whatever happens to messages, drivers and agents. Ruled out: two-phase commit whose decision only the ranks hold (an agent that restarts without memory may have been the only one that knew), a timeout on the promise (a rank that gives up waiting runs the old map beside the others' new one), asking the agent in every step (its processor share). Change: stage, promise, decide by one write of the register, commit, retire; agents permit steps ahead and never past a promise; every message names the fencing number and the life of the agent.

--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/expert_map.py
@@ -0,0 +1,118 @@
+"""Expert maps: which ranks hold which expert of each layer."""
+
+from xxhash import xxh3_64_hexdigest
+
+from gooseberryyoke.expert.exceptions import InvalidMapError
+from gooseberryyoke.record import Record
+
+__all__ = ["ExpertMap"]
+
+
+class ExpertMap(Record):
+    """
+    Placement of every expert of every layer on the ranks of one group.
+
+    Parameters
+    ----------
+    rank_count : int
+        Ranks in the group.
+    layers : sequence of sequence of sequence of int
+        Ranks by layer and expert, shape (layers, experts, replicas); the number
+        of replicas may differ between experts, and is at least one.
+
+    Raises
+    ------
+    InvalidMapError
+        If an expert has no rank, a rank twice, or a rank outside the group.
+
+    Notes
+    -----
+    A map carries no number of its own: the number is given when a change opens
+    (see `MapRecord`), so that the same placement can be tried again under a new
+    number. The digest names the content.
+
+    Examples
+    --------
+    >>> expert_map = ExpertMap(2, [[(0,), (1, 0)]])
+    >>> expert_map.held_by(0)
+    frozenset({(0, 0), (0, 1)})
+    """
+
+    __slots__ = ("rank_count", "layers")
+
+    def __init__(self, rank_count, layers):
+        self.rank_count = rank_count
+        self.layers = tuple(
+            tuple(tuple(sorted(ranks)) for ranks in experts) for experts in layers
+        )
+        self._check()
+
+    def _check(self):
+        for layer, experts in enumerate(self.layers):
+            for expert, ranks in enumerate(experts):
+                valid = ranks and ranks[0] >= 0 and ranks[-1] < self.rank_count
+                if not valid or len(set(ranks)) != len(ranks):
+                    raise InvalidMapError(
+                        f"layer {layer}, expert {expert}: ranks {ranks}, expected"
+                        f" distinct ranks from 0 to {self.rank_count - 1}"
+                    )
+
+    @property
+    def digest(self):
+        """Name the content: equal for equal placements."""
+        return xxh3_64_hexdigest(repr((self.rank_count, self.layers)))
+
+    def held_by(self, rank):
+        """
+        List what one rank holds.
+
+        Parameters
+        ----------
+        rank : int
+
+        Returns
+        -------
+        frozenset of (int, int)
+            Pairs of layer and expert.
+        """
+        return frozenset(
+            (layer, expert)
+            for layer, experts in enumerate(self.layers)
+            for expert, ranks in enumerate(experts)
+            if rank in ranks
+        )
+
+    def loads_from(self, old, rank):
+        """
+        List what a rank must load to get here from another map.
+
+        Parameters
+        ----------
+        old : ExpertMap
+            The map that the rank holds now.
+        rank : int
+
+        Returns
+        -------
+        frozenset of (int, int)
+            Pairs of layer and expert that `old` doesn't give to the rank.
+        """
+        return self.held_by(rank) - old.held_by(rank)
+
+    def move_count(self, old):
+        """
+        Count the expert weights to be loaded by all ranks together.
+
+        Parameters
+        ----------
+        old : ExpertMap
+
+        Returns
+        -------
+        int
+        """
+        return sum(
+            len(set(ranks) - set(old_ranks))
+            for experts, old_experts in zip(self.layers, old.layers, strict=True)
+            for ranks, old_ranks in zip(experts, old_experts, strict=True)
+        )
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/group_search.py
@@ -0,0 +1,246 @@
+"""Exhaustive search over what may happen to a `RankGroup`."""
+
+from gooseberryyoke.expert import (
+    Hello,
+    RankReport,
+    ReadRecord,
+    RecordSeen,
+    Send,
+    WriteRecord,
+)
+from gooseberryyoke.expert.tests.rank_group import Engine, MixedStepError, RankGroup
+
+__all__ = ["GroupSearch", "loaded_group"]
+
+
+class GroupSearch:
+    """
+    Visit every state that a small group can reach, up to a limit.
+
+    Records are replaced by small numbers and every transition of one part is
+    computed once. A message is left out of the state once it can have no effect
+    any more, which keeps the number of states finite and small. Of the states
+    visited only 64-bit hashes are kept.
+    """
+
+    def __init__(self, group):
+        self.group = group
+        self.items = []
+        self.ids = {}
+        self.memo = {}
+        self.visited = 0
+
+    def run(self, limit):
+        """
+        Search; raises `MixedStepError` on a step with two maps.
+
+        Returns
+        -------
+        bool
+            Whether every reachable state was visited.
+        """
+        start = self._start()
+        seen, todo = {hash(start)}, [start]
+        while todo and len(seen) < limit:
+            for state in self._successors(todo.pop()):
+                if hash(state) not in seen:
+                    seen.add(hash(state))
+                    todo.append(state)
+        self.visited = len(seen)
+        return not todo
+
+    def _start(self):
+        group = self.group
+        parts = [
+            tuple(map(self._id, part))
+            for part in (group.agents, group.engines, group.drivers)
+        ]
+        register = self._id((group.version, group.record))
+        mail = frozenset(map(self._id, group.mail))
+        return (*parts, register, mail, group.restarts)
+
+    def _id(self, item):
+        number = self.ids.get(item)
+        if number is None:
+            number = self.ids[item] = len(self.items)
+            self.items.append(item)
+        return number
+
+    def _once(self, function, *numbers):
+        key = (function, numbers)
+        if key not in self.memo:
+            self.memo[key] = function(self, *numbers)
+        return self.memo[key]
+
+    # Transitions of the whole
+
+    def _successors(self, state):
+        agents, engines, drivers, register, mail, restarts = state
+        for rank in range(len(agents)):
+            pair = agents[rank], engines[rank]
+            for agent, engine in (
+                self._once(_sync, *pair),
+                self._once(_step, rank, agents[rank], *engines),
+            ):
+                if (agent, engine) != pair:
+                    yield self._settled(
+                        _put(agents, rank, agent),
+                        _put(engines, rank, engine),
+                        *state[2:],
+                    )
+            if restarts:
+                agent = self._once(_restart, *pair)
+                yield self._settled(
+                    _put(agents, rank, agent), *state[1:5], restarts - 1
+                )
+        for item in mail:
+            yield self._delivered(state, item)
+
+    def _delivered(self, state, item):
+        agents, engines, drivers, register, mail, restarts = state
+        target, content = self.items[item]
+        if isinstance(content, Send):
+            rank = content.rank
+            agent, posted = self._once(_receive, agents[rank], item)
+            agents = _put(agents, rank, agent)
+        elif isinstance(content, (WriteRecord, ReadRecord)):
+            register, posted = self._once(_operate, register, item)
+        else:
+            driver, posted = self._once(_tell, drivers[target], item)
+            drivers = _put(drivers, target, driver)
+        return self._settled(
+            agents, engines, drivers, register, mail | posted, restarts
+        )
+
+    def _settled(self, agents, engines, drivers, register, mail, restarts):
+        live = frozenset(
+            item
+            for item in mail
+            if self._is_live(item, agents, drivers, register, restarts)
+        )
+        return agents, engines, drivers, register, live, restarts
+
+    def _is_live(self, item, agents, drivers, register, restarts):
+        target, content = self.items[item]
+        driver = drivers[target]
+        if isinstance(content, Send):
+            agent = agents[content.rank]
+            return self._once(_send_lives, item, agent, bool(restarts))
+        return self._once(_event_lives, item, driver, register)
+
+
+# Transitions of the parts, by their numbers
+
+
+def _receive(search, agent, item):
+    target, content = search.items[item]
+    state, report = search.items[agent].receive(content.message)
+    # What no driver looks at is left out, so that equal reports count as one.
+    until_step = report.until_step if report.staged else 0
+    report = report.replace(refused=None, next_step=0, until_step=until_step)
+    posted = search._id((target, report))
+    return search._id(state), frozenset((posted,))
+
+
+def _operate(search, register, item):
+    target, content = search.items[item]
+    version, record = search.items[register]
+    tag = getattr(content, "tag", None)
+    if isinstance(content, WriteRecord) and content.version == version:
+        version, record = version + 1, content.record
+    posted = search._id((target, RecordSeen(version, record, tag)))
+    return search._id((version, record)), frozenset((posted,))
+
+
+def _tell(search, driver, item):
+    target, content = search.items[item]
+    state = search.items[driver]
+    if isinstance(content, RankReport):
+        state = state.report_seen(content)
+    else:
+        state = state.record_seen(content)
+    posted = frozenset(search._id((target, effect)) for effect in state.poll())
+    return search._id(state), posted
+
+
+def _sync(search, agent, engine):
+    state, held = search.items[agent], search.items[engine]
+    state = state.observe(held.next_step, held.until_step, held.loaded)
+    state, permit = state.permit(search.group.window_steps)
+    segments = held.segments + permit.segments
+    held = Engine(segments, permit.until_step, held.loaded, held.ran)
+    return search._id(state), search._id(held)
+
+
+def _step(search, rank, agent, *engines):
+    held = [search.items[engine] for engine in engines]
+    engine = held[rank]
+    slowest = min(other.next_step for other in held)
+    limit = min(engine.until_step, slowest + 1, search.group.last_step)
+    if engine.next_step >= limit:
+        return agent, engines[rank]
+    engine = engine.step()
+    step = engine.next_step - 1
+    numbers = {other.ran[step] for other in held if len(other.ran) > step}
+    if numbers - {engine.ran[step]}:
+        raise MixedStepError(f"step {step}: {[*held, engine]}")
+    state = search.items[agent]
+    state = state.observe(engine.next_step, engine.until_step, engine.loaded)
+    return search._id(state), search._id(engine)
+
+
+def _restart(search, agent, engine):
+    old, held = search.items[agent], search.items[engine]
+    rank, life = old.incarnation
+    fresh = type(old)(rank, (rank, life + 1))
+    fresh = fresh.observe(held.next_step, held.until_step, held.loaded)
+    return search._id(fresh)
+
+
+def _send_lives(search, item, agent, restarts):
+    message, state = search.items[item][1].message, search.items[agent]
+    if isinstance(message, Hello):
+        return restarts or message.fence > state.fence
+    # Within a life an agent's state only advances: what is taken already, or is
+    # refused for its sender, stays without effect.
+    after, report = state.receive(message)
+    if report.refused is None:
+        return after != state
+    return report.refused not in ("fence", "incarnation")
+
+
+def _event_lives(search, item, driver, register):
+    content, state = search.items[item][1], search.items[driver]
+    version, _ = search.items[register]
+    if isinstance(content, WriteRecord) and content.version == version:
+        return True
+    if state.phase.final:
+        return False
+    if isinstance(content, WriteRecord):
+        return state.version < version
+    if isinstance(content, ReadRecord):
+        return content.tag not in state.checked if content.tag else True
+    told = (
+        state.report_seen(content)
+        if isinstance(content, RankReport)
+        else state.record_seen(content)
+    )
+    return told != state
+
+
+def _put(items, place, item):
+    return (*items[:place], item, *items[place + 1 :])
+
+
+def loaded_group(targets, **group):
+    """Build a group whose ranks hold all weights and whose drivers have read."""
+    world = RankGroup(targets, **group)
+    loaded = frozenset({"first", *filter(None, targets)})
+    world.engines = tuple(engine.replace(loaded=loaded) for engine in world.engines)
+    world.agents = tuple(agent.replace(loaded=loaded) for agent in world.agents)
+    seen = RecordSeen(world.version, world.record)
+    world.drivers = tuple(driver.record_seen(seen) for driver in world.drivers)
+    world.mail = ()
+    for number in range(len(world.drivers)):
+        world._post(number)
+    return world
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_map_search.py
@@ -0,0 +1,50 @@
+import random
+
+import pytest
+
+from gooseberryyoke.expert import RecordSeen
+from gooseberryyoke.expert.tests.careless import MajorityDriver, NoHoldAgent
+from gooseberryyoke.expert.tests.group_search import GroupSearch, loaded_group
+from gooseberryyoke.expert.tests.group_walk import walk
+from gooseberryyoke.expert.tests.rank_group import MixedStepError, RankGroup
+
+WALKS = 150
+GROUPS = [
+    {"targets": ["second"], "restarts": 1},
+    {"targets": ["second", "third"], "restarts": 1},
+    {"targets": ["second", None], "restarts": 2},
+    {"targets": ["second", "third", None], "restarts": 2, "rank_count": 3},
+]
+
+
+@pytest.mark.parametrize("group", GROUPS)
+def test_any_order_of_events_keeps_one_map_a_step(group):
+    """
+    Anything goes wrong at once, and then the faults stop.
+
+    Messages come late, doubled, crossed or not at all, drivers freeze and thaw,
+    cancels come, agents restart without memory. No step may run on two maps,
+    and a successor must find a way back to health from wherever that ended.
+    """
+    for seed in range(WALKS):
+        walk(random.Random(seed), last_step=8, **group)
+
+
+def test_every_state_of_one_change_keeps_one_map_a_step():
+    search = GroupSearch(loaded_group(["second"], last_step=3))
+    assert search.run(limit=500_000)
+
+
+@pytest.mark.parametrize(
+    "without", [{"agent_class": NoHoldAgent}, {"driver_class": MajorityDriver}]
+)
+def test_search_finds_the_fault_of_a_careless_part(without):
+    search = GroupSearch(loaded_group(["second"], last_step=4, **without))
+    with pytest.raises(MixedStepError):
+        search.run(limit=500_000)
+
+
+def test_register_answer_of_another_version_is_no_claim():
+    world = RankGroup(["second"])
+    driver = world.drivers[0].record_seen(RecordSeen(0, world.record))
+    assert driver.record_seen(RecordSeen(4, world.record)).number == 0
