Pass over servers that are out of order; show gauges and open metrics

Cause: an engine that answers everything with 503 was taken for one that answers; gauges of bundle, lease, servers and requests in flight were defined and never set; claims were never swept. Ruled out: retrying any 5xx (a 500 is often the request's own). Conclusion: one broken engine costs its neighbours' callers nothing.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
@@ -16,8 +16,11 @@
 BAR_WINDOW_S = LEDGER_KEEP_S / 2
 """How old the order of an attempt may be that is still barred, in seconds."""
 
-ORDER_WINDOW_S = 60.0
-"""How old an order may be that is still taken, in seconds."""
+ORDER_WINDOW_S = 30.0
+"""
+How old an order may be that is still taken, in seconds. Half of the shortest
+retention of claims, so that no order can outlive the claim that it rests on.
+"""
 
 ANSWER_KEEP_S = 60.0
 """How long the answer to a repeatable request is kept, in seconds."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
@@ -69,6 +69,10 @@
         """
         return self._lease.current(self._clock.now())
 
+    def lease_left_s(self):
+        """Tell how long the lease on the bundle still holds, in seconds."""
+        return self._lease.left_s(self._clock.now())
+
     async def run(self, task_status=TASK_STATUS_IGNORED):
         """Check for newer bundles until cancelled."""
         task_status.started()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -8,10 +8,9 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.agent import AgentNode
 from gooseberryyoke_daemon.bundles import BundleKeeper
-from gooseberryyoke_daemon.claims import ClaimKeeper
+from gooseberryyoke_daemon.claims import ClaimKeeper, ClaimSweeper
 from gooseberryyoke_daemon.entry import EntryNode, Observer
 from gooseberryyoke_daemon.guard import Guard
-from gooseberryyoke_daemon.metrics import Metrics
 from gooseberryyoke_daemon.operators import Approval, OperatorRoutes
 from gooseberryyoke_daemon.process import Process
 from gooseberryyoke_daemon.registers import HttpPeer, RegisterClient
@@ -115,7 +114,8 @@
         process = self._process
         async with open_nursery() as nursery:
             # Before the roles: a replica joins only once its peers reach it.
-            server = HttpServer(Guard(process.verifier, self._routes), process.limits)
+            guard = Guard(process.verifier, self._routes, process.metrics)
+            server = HttpServer(guard, process.limits)
             listeners = await process.network.listen(process.internal_address)
             await nursery.start(server.run, listeners)
             replica = await self._start_replica(nursery)
@@ -164,7 +164,11 @@
         )
         await nursery.start(bundles.run)
         claims = ClaimKeeper(registers, process.clock.wall)
-        observer = Observer(Metrics())
+        sweeper = ClaimSweeper(
+            registers, process.clock.wall, partial(_claim_retention_s, bundles)
+        )
+        nursery.start_soon(sweeper.run)
+        observer = Observer(process.metrics)
         entry = EntryNode(settings, process, bundles, claims, observer)
         self._routes.extend(await nursery.start(entry.run))
         self._leavers.append(entry.leave)
@@ -206,6 +210,11 @@
         }
 
 
+def _claim_retention_s(bundles):
+    bundle = bundles.current()
+    return None if bundle is None else bundle.durable.claim_retention_s
+
+
 def _stopper(routes):
     async def leave():
         routes.stop()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/caller.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/caller.py
@@ -12,12 +12,13 @@
 from gooseberryyoke_daemon.entry.exceptions import CallerGone
 from gooseberryyoke_daemon.entry.exchange import Exchange
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.metrics import METRICS_TYPE
 from gooseberryyoke_daemon.wire import Response, json_response, problem_response
 
 __all__ = ["CallerRoutes"]
 
 _DEADLINE_RETRY_S = 1.0
-_TEXT = (("content-type", "text/plain; version=0.0.4; charset=utf-8"),)
+_TEXT = (("content-type", METRICS_TYPE),)
 
 
 class CallerRoutes:
@@ -107,6 +108,7 @@
 
     async def _run(self, exchange):
         result = None
+        self._observer.exchange_began()
         with exchange.scope:
             result = await self._answer(exchange)
         if exchange.scope.cancelled_caught:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -17,6 +17,7 @@
 __all__ = ["Answer", "Delivery", "verdict_of_status"]
 
 _CHUNKS_AHEAD = 64
+_CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 _EVENT_STREAM = "text/event-stream"
 
@@ -155,7 +156,7 @@
             self.first_data_s = now
         self.last_data_s = now
         self.pieces += 1
-        if not self.streaming:
+        if not self.streaming or self._is_error():
             self._body += data
             return
         data = self._skip(data)
@@ -202,6 +203,10 @@
         await self._ready.wait()
         return self._response
 
+    def _is_error(self):
+        # An error comes whole, so that a retry can still take its place.
+        return not self.started and self.head.status >= _CLIENT_ERROR
+
     def _skip(self, data):
         if self._skip_bytes == 0:
             return data
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -14,6 +14,8 @@
 _NOT_A_FAULT = frozenset(
     ["agent-full", "barred", "leaving", "old-bundle", "stale-order", "taken"]
 )
+# Answers of a server that may be out of order, while another one isn't.
+_SERVER_DOWN = frozenset([502, 503, 504])
 
 
 class Dispatch:
@@ -63,6 +65,9 @@
             exchange.verdict = before.then(refusal.verdict)
             return Failure(refusal.replace(verdict=exchange.verdict))
         answer = exchange.delivery.take_answer()
+        if exchange.repeatable and answer.status in _SERVER_DOWN:
+            self._fleet.failed(server, number, self._clock.now())
+            return Failure(_server_down(answer))
         exchange.verdict = answer.verdict
         if answer.verdict is Verdict.RAN:
             tokens = answer_tokens(exchange.delivery)
@@ -96,3 +101,8 @@
             self._fleet.failed(server, number, now)
         if reason == "leaving":
             self._fleet.left(server)
+
+
+def _server_down(answer):
+    detail = f"the backend server answered with status {answer.status}"
+    return Refusal(Verdict.MAY_HAVE_RUN, 502, "server-unavailable", detail, 1.0)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -101,7 +101,7 @@
         async with open_nursery() as nursery:
             self._server = HttpServer(self._callers(nursery), self._process.limits)
             listeners = await self._process.network.listen(self._listen)
-            nursery.start_soon(roster.run, self._settings.announce_interval_s)
+            nursery.start_soon(self._tend, roster)
             nursery.start_soon(self._announcer.run)
             nursery.start_soon(self._serve_callers, listeners)
             task_status.started(
@@ -134,6 +134,17 @@
         """
         return self._status.show(self._bundles.current())
 
+    async def _tend(self, roster):
+        while True:
+            await sleep(self._settings.announce_interval_s)
+            roster.expire()
+            bundle = self._bundles.current()
+            self._observer.system_seen(
+                0 if bundle is None else bundle.version,
+                self._bundles.lease_left_s(),
+                roster.servers_by_service(),
+            )
+
     async def _serve_callers(self, listeners):
         await self._server.run(listeners)
         self._stopped.set()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/observer.py
@@ -18,6 +18,12 @@
 
     def __init__(self, metrics):
         self._metrics = metrics
+        self._in_flight = 0
+
+    def exchange_began(self):
+        """Note the arrival of a request."""
+        self._in_flight += 1
+        self._metrics.set("requests_in_flight", self._in_flight)
 
     def exchange_ended(self, exchange, result, now):
         """
@@ -30,6 +36,8 @@
         now : float
             Monotonic time, in seconds.
         """
+        self._in_flight -= 1
+        self._metrics.set("requests_in_flight", self._in_flight)
         labels = _labels(exchange)
         failed = isinstance(result, Failure)
         outcome = result.failure() if failed else result.unwrap()
@@ -51,6 +59,24 @@
             **labels,
         )
 
+    def system_seen(self, version, lease_s, servers):
+        """
+        Note what the entry knows of the system.
+
+        Parameters
+        ----------
+        version : int
+            Of the bundle in force; 0 for none.
+        lease_s : float
+            What is left of the lease on it, in seconds.
+        servers : dict of str to int
+            Backend servers that take requests, by service.
+        """
+        self._metrics.set("bundle_version", version)
+        self._metrics.set("bundle_lease_seconds", lease_s)
+        for service, count in servers.items():
+            self._metrics.set("servers", count, service=service)
+
     def render(self):
         """Give the page for ``/metrics``."""
         return self._metrics.render()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
@@ -1,7 +1,5 @@
 """Keeps directories and fleet in step with the announcements."""
 
-from trio import sleep
-
 from gooseberryyoke.balance import LoadReport
 from gooseberryyoke_daemon.logs import log_event
 
@@ -54,13 +52,22 @@
             report = _report_of(announcement)
             self._fleet.reported(announcement.name, report, self._clock.now())
 
-    async def run(self, interval_s):
-        """Take silent servers out until cancelled, at intervals in seconds."""
-        while True:
-            await sleep(interval_s)
-            self._expire()
+    def servers_by_service(self):
+        """
+        Count the backend servers that take requests.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        live = self._servers.live(self._clock.now())
+        counts = dict.fromkeys((server.service for server in live), 0)
+        for server in live:
+            counts[server.service] += not server.leaving
+        return counts
 
-    def _expire(self):
+    def expire(self):
+        """Take silent servers out and forget those that are long gone."""
         now = self._clock.now()
         live = {server.name for server in self._servers.live(now)}
         for view in list(self._fleet):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -234,3 +234,45 @@
                 await session.network.connect(Address("10.0.0.1", 8000))
 
     run_session(body)
+
+
+def test_engine_out_of_order_is_passed_over():
+    """
+    Callers get whole answers although one engine answers everything with 503.
+
+    A repeatable request is attempted again at the other engine, streamed or not,
+    and the broken one is avoided for a while.
+    """
+
+    async def body(session):
+        engines = [FakeEngine(), FakeEngine()]
+        engines[0].broken = True
+        await small_system(session, engines)
+        for number in range(6):
+            reply = await session.draw(f"seed {number}", stream=number % 2 == 1)
+            assert (reply.status, reply.verdict) == (200, "ran")
+        engines[1].broken = True
+        reply = await session.draw("seed", stream=True)
+        assert (reply.status, reply.verdict) == (502, "may-have-run")
+
+    run_session(body)
+
+
+def test_metrics_tell_what_happened():
+    async def body(session):
+        await small_system(session, [FakeEngine()])
+        await session.draw("seed the heats", stream=True)
+        await session.call("GET", "/v1/services/other/x")
+        await sleep(1.0)
+        page = (await session.call("GET", "/metrics")).body.decode()
+        for expected in (
+            'verdicts_total{account="club",class="draw",verdict="ran"} 1',
+            'refusals_total{account="club",class="none",reason="no-class"} 1',
+            'first_token_seconds_count{account="club",class="draw"} 1',
+            "gooseberryyoke_bundle_version 1",
+            'gooseberryyoke_servers{service="draw-llm"} 1',
+            "gooseberryyoke_requests_in_flight 0",
+        ):
+            assert expected in page
+
+    run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/process.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/process.py
@@ -1,5 +1,6 @@
 """What all roles of one process share."""
 
+from gooseberryyoke_daemon.metrics import Metrics
 from gooseberryyoke_daemon.wire import HttpClient, Signer, Verifier
 
 __all__ = ["Process"]
@@ -29,6 +30,7 @@
         For the system's own processes.
     verifier : Verifier
         Checks what they send.
+    metrics : Metrics
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         self.clock = clock
         self.rng = rng
         self.limits = limits
+        self.metrics = Metrics()
         key_id = next(iter(keys))
         signer = Signer(key_id, keys[key_id], clock.wall, rng)
         self.plain_client = HttpClient(network, limits)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
@@ -31,6 +31,8 @@
         Told in the load report.
     stalled : bool
         Whether to say nothing more in any answer.
+    broken : bool
+        Whether to answer everything with 503.
     """
 
     def __init__(self, step_s=0.01):
@@ -40,6 +42,7 @@
         self.running = 0
         self.leaving = False
         self.stalled = False
+        self.broken = False
 
     async def __call__(self, request):
         """Answer ``/load`` and chat completions."""
@@ -48,6 +51,8 @@
         body = loads(request.body)
         question = body["messages"][-1]["content"]
         self.runs[question] += 1
+        if self.broken:
+            return json_response(503, {"error": "out of order"})
         if body.get("stream"):
             return Response(200, _EVENTS, self._events(question))
         words = [word async for word in self._words(question)]
