Give sessions one course for each seed

Cause: trio shuffles ready tasks with an unseeded generator, so that a session could take another course on each run and golden files of it would differ. Change: the scheduler of sessions is seeded; bundle and key are parameters. Conclusion: sessions can be compared with golden files.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -5,6 +5,7 @@
 
 from orjson import dumps, loads
 from trio import TASK_STATUS_IGNORED, CancelScope, open_nursery, run, sleep
+from trio._core import _run as scheduler
 from trio.testing import MockClock
 
 from gooseberryyoke.bundle import (
@@ -117,12 +118,19 @@
     ----------
     nursery : trio.Nursery
     seed : int
+    text : str
+        The bundle that is rolled at the start.
+    key : str
+        Bearer key of the calls.
     """
 
-    def __init__(self, nursery, seed=1):
+    def __init__(self, nursery, seed=1, text=BUNDLE_TEXT, key="club-key"):
+        self.text = text
+        self.key = key
         self.nursery = nursery
         self.network = MemoryNetwork(latency_s=0.001)
         self.rng = Random(seed)
+        self._deployment = parse_bundle(text).unwrap().deployment
         self.clock = Clock(wall=lambda: _EPOCH_S + self.clock.now())
         self.scopes = {}
         self.daemons = {}
@@ -135,7 +143,7 @@
         async with open_nursery() as nursery:
             for number in range(1, entries + 1):
                 nursery.start_soon(partial(self.entry, number, may_found=True))
-        await self.roll(BUNDLE_TEXT)
+        await self.roll(self.text)
         await sleep(_SETTLED_S)
 
     async def entry(self, number, may_found=False):
@@ -150,7 +158,7 @@
             name,
             listen,
             roles=("entry", "replica") if number <= REPLICAS else ("entry",),
-            entry=EntrySettings("session", None, 0.5, 2.0, 1.5, 0.5),
+            entry=EntrySettings(self._deployment, None, 0.5, 2.0, 1.5, 0.5),
             replica=ReplicaSettings(f"r{number}", may_found),
         )
         return await self._start(settings, host)
@@ -229,7 +237,7 @@
 
     def request(self, method, target, payload=None, **headers):
         """Build a caller's request; header names are given with underscores."""
-        pairs = [("authorization", "Bearer club-key")]
+        pairs = [("authorization", f"Bearer {self.key}")]
         pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
         body = b"" if payload is None else dumps(payload)
         return Request(method, target, pairs, body)
@@ -300,7 +308,7 @@
     }
 
 
-def run_session(body, seed=1):
+def run_session(body, seed=1, **options):
     """
     Run a test's body with a session under a mock clock.
 
@@ -309,12 +317,18 @@
     body : async callable
         Takes the session.
     seed : int
+    **options
+        For `Session`.
     """
 
     async def main():
         async with open_nursery() as nursery:
-            await body(Session(nursery, seed))
+            await body(Session(nursery, seed, **options))
             await sleep(0)
             nursery.cancel_scope.cancel()
 
+    # Trio shuffles the tasks that are ready at one instant. Seeded, a session
+    # takes the same course each time; this is how trio's own test plugin does it.
+    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+    scheduler._r.seed(seed)
     run(main, clock=MockClock(autojump_threshold=0))
