--- /dev/null
+++ b/examples/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Whole sessions, once in memory and once across processes, held to golden files."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -207,6 +207,10 @@
         address = Address(f"10.0.0.{entry}", _OPERATOR_PORT)
         return await self._client.json(method, address, path, payload, timeout_s=20)
 
+    def normalise(self, text):
+        """Give a transcript's text as it is: in memory it is always the same."""
+        return text
+
     def kill(self, name):
         """End a process without any farewell."""
         self.scopes[name].cancel()
