Demonstrate both deployments end to end, as processes

Ruled out: one deployment after the other, which takes about twice as long; ports from the ephemeral range, which connections that others open can take first; a kill under even load, which seldom meets a call that may not be repeated on its way (a burst of 40 goes out right before it).

Change: examples/demo.py with callers that keep to the answers of GET /v1/entries, honour Retry-After and alternatives and repeat with the same Idempotency-Key; it kills an entry with a replica, stops another by SIGTERM, and checks ten points. Targets demo and bench of the Makefile, resident memory of idle processes, README.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,12 @@
 test: $(VENV)/installed
 	$(BIN)/pytest -n 6
 
+demo: $(VENV)/installed
+	$(BIN)/python -m examples.demo
+
+bench: $(VENV)/installed
+	$(BIN)/python -m tools.bench.memory
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/examples/demonstration/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of the demonstration: processes, callers, workloads, checks."""
--- /dev/null
+++ b/examples/demonstration/deployment.py
@@ -0,0 +1,249 @@
+"""One deployment on loopback: its files, its processes, its first bundle."""
+
+import json
+import shutil
+import sys
+
+import trio
+import yaml
+
+from examples.demonstration.processes import ROOT, Processes, binary
+from gooseberryyoke_daemon.wire import HttpClient, TcpNetwork, WireError
+
+__all__ = ["SEED", "Deployment"]
+
+SEED = 7
+
+_ENTRIES = 4
+_REPLICAS = ("replica-a", "replica-b", "replica-c")
+_SIGNER = "demo-operator"
+_START_TIMEOUT_S = 45.0
+_POLL_S = 0.1
+_STATUS_PATH = "/operator/status"
+_OK = 200
+
+
+class Entry:
+    """Addresses of one entry instance."""
+
+    __slots__ = ("name", "internal", "callers", "operators")
+
+    def __init__(self, name, ports):
+        self.name = name
+        self.internal = ports.take()
+        self.callers = ports.take()
+        self.operators = ports.take()
+
+
+class Backend:
+    """Addresses of one backend server and of its agent."""
+
+    __slots__ = ("name", "service", "kind", "number", "address", "agent_address")
+
+    def __init__(self, service, kind, number, ports):
+        self.name = f"{service}-{number}"
+        self.service = service
+        self.kind = kind
+        self.number = number
+        self.address = ports.take()
+        self.agent_address = ports.take()
+
+
+class Deployment:
+    """
+    Starts, fills and stops the processes of one deployment.
+
+    Parameters
+    ----------
+    profile : Profile
+        What to start.
+    folder : pathlib.Path
+        Emptied first; settings, keys, logs and data go there.
+    ports : Ports
+        Shared by all deployments of a run.
+    """
+
+    def __init__(self, profile, folder, ports):
+        self.profile = profile
+        self._folder = folder
+        shutil.rmtree(folder, ignore_errors=True)
+        folder.mkdir(parents=True)
+        self.processes = Processes(folder)
+        self.entries = [Entry(f"entry-{n}", ports) for n in range(1, _ENTRIES + 1)]
+        self.backends = [
+            *self._backends("engine", profile.engine_service, profile.engines, ports),
+            *self._backends(
+                "plain", profile.plain_service, profile.plain_servers, ports
+            ),
+        ]
+        self._client = HttpClient(TcpNetwork())
+
+    async def start(self):
+        """Start all, roll the bundle, and wait until every entry is ready."""
+        await self._operate("keys", "sign-off", _SIGNER, "--folder", self._folder)
+        await self._operate("keys", "internal", self._folder / "internal.yaml")
+        for backend in self.backends:
+            self._start_fake(backend)
+        for number, entry in enumerate(self.entries):
+            self._start_daemon(entry.name, self._entry_settings(entry, number))
+        for backend in self.backends:
+            settings = self._agent_settings(backend)
+            self._start_daemon(f"agent-{backend.name}", settings)
+        await self._wait_for_operators()
+        await self._roll()
+        await self._wait_until_ready()
+
+    async def status(self):
+        """
+        Ask for the state of the deployment.
+
+        Returns
+        -------
+        dict
+            The answer of ``gooseberryyoke status --json``.
+        """
+        return await self._operate("status", *self._entry_options())
+
+    async def executions(self):
+        """
+        Ask each fake how often it ran each request.
+
+        Returns
+        -------
+        dict of str to dict of str to int
+            Counts by name of the fake and business key.
+        """
+        counts = {}
+        for backend in self.backends:
+            reply = await self._client.json(
+                "GET", backend.address, "/executions", timeout_s=10
+            )
+            counts[backend.name] = reply.payload["executions"]
+        return counts
+
+    async def _operate(self, *args):
+        command = [binary("gooseberryyoke"), *map(str, args), "--json"]
+        done = await trio.run_process(
+            command, capture_stdout=True, capture_stderr=True, check=False
+        )
+        if done.returncode:
+            detail = (done.stdout + done.stderr).decode()
+            raise RuntimeError(f"{' '.join(command)}: {detail}")
+        return json.loads(done.stdout)
+
+    def _entry_options(self):
+        live = set(self.processes.names())
+        return [
+            option
+            for entry in self.entries
+            if entry.name in live
+            for option in ("--entry", str(entry.operators))
+        ]
+
+    async def _roll(self):
+        text = (ROOT / "examples" / self.profile.name / "bundle.yaml").read_text()
+        bundle = yaml.safe_load(text)
+        for replica, entry in zip(
+            bundle["durable"]["replicas"], self.entries, strict=False
+        ):
+            text = text.replace(replica["address"], str(entry.internal))
+        path = self._folder / "bundle.yaml"
+        path.write_text(text)
+        key = self._folder / f"{_SIGNER}.key.pem"
+        signed = self._folder / "bundle.signed.json"
+        await self._operate(
+            "sign", path, "--signer", _SIGNER, "--key", key, "--out", signed
+        )
+        await self._operate("roll", signed, *self._entry_options())
+
+    async def _wait_for_operators(self):
+        for entry in self.entries:
+            await self._wait_for(entry.operators, _STATUS_PATH, lambda reply: True)
+
+    async def _wait_until_ready(self):
+        for entry in self.entries:
+            await self._wait_for(
+                entry.callers, "/readyz", lambda reply: reply.status == _OK
+            )
+            await self._wait_for(entry.operators, _STATUS_PATH, self._knows_all)
+
+    def _knows_all(self, reply):
+        agents = reply.payload.get("agents", [])
+        return len(agents) == len(self.backends)
+
+    async def _wait_for(self, address, path, is_right):
+        with trio.move_on_after(_START_TIMEOUT_S):
+            while True:
+                if ended := self.processes.ended():
+                    raise RuntimeError(f"{ended} ended; see {self._folder}")
+                try:
+                    reply = await self._client.json("GET", address, path, timeout_s=2)
+                    if is_right(reply):
+                        return
+                except WireError:
+                    pass
+                await trio.sleep(_POLL_S)
+        raise RuntimeError(f"{address}{path}: not so within {_START_TIMEOUT_S:g} s")
+
+    def _backends(self, kind, service, count, ports):
+        return [Backend(service, kind, number, ports) for number in range(1, count + 1)]
+
+    def _start_fake(self, backend):
+        module = "engine" if backend.kind == "engine" else "service"
+        command = [sys.executable, "-m", f"examples.fakes.{module}"]
+        options = ["--listen", str(backend.address), "--seed", str(SEED)]
+        self.processes.start(backend.name, [*command, *options])
+
+    def _start_daemon(self, name, settings):
+        path = self._folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings, sort_keys=False))
+        self.processes.start(name, [binary("gooseberryyoked"), "--settings", str(path)])
+
+    def _shared_settings(self, name, number, roles):
+        centres = self.profile.data_centres
+        return {
+            "name": name,
+            "data_centre": centres[number % len(centres)],
+            "roles": roles,
+            "internal_keys": "internal.yaml",
+        }
+
+    def _entry_settings(self, entry, number):
+        is_replica = number < len(_REPLICAS)
+        roles = ["entry", "replica"] if is_replica else ["entry"]
+        settings = self._shared_settings(entry.name, number, roles)
+        settings["listen"] = {
+            "internal": str(entry.internal),
+            "callers": str(entry.callers),
+            "operators": str(entry.operators),
+        }
+        settings["entries"] = [
+            str(other.internal) for other in self.entries if other is not entry
+        ]
+        settings["replicas"] = [
+            {"id": name, "address": str(other.internal)}
+            for name, other in zip(_REPLICAS, self.entries, strict=False)
+        ]
+        settings["sign_off"] = {"keys": {_SIGNER: f"{_SIGNER}.pub.pem"}}
+        settings["entry"] = {"deployment": self.profile.name}
+        if is_replica:
+            settings["data_folder"] = f"data-{entry.name}"
+            settings["replica"] = {"id": _REPLICAS[number], "may_found": True}
+        return settings
+
+    def _agent_settings(self, backend):
+        name = f"agent-{backend.name}"
+        settings = self._shared_settings(name, backend.number, ["agent"])
+        settings["listen"] = {"internal": str(backend.agent_address)}
+        settings["entries"] = [str(entry.internal) for entry in self.entries]
+        server = {
+            "name": backend.name,
+            "address": str(backend.address),
+            "kind": backend.kind,
+            "service": backend.service,
+            "load_path": "/load",
+        }
+        if backend.kind == "engine":
+            server["models"] = [self.profile.model]
+        settings["agent"] = {"server": server}
+        return settings
