--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/options.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/options.py
@@ -63,9 +63,18 @@
         help="Operators' port of an entry; several are tried in turn. Also taken from "
         "GOOSEBERRYYOKE_ENTRIES, separated by spaces.",
     )
+    @click.option(
+        "--ca",
+        "ca_file",
+        envvar="GOOSEBERRYYOKE_CA",
+        help="Talk TLS to entries whose certificates this authority (a PEM file) has "
+        "signed. Also taken from GOOSEBERRYYOKE_CA.",
+    )
     @functools.wraps(command)
-    def _run(session, *args, entries, **kwargs):
+    def _run(session, *args, entries, ca_file, **kwargs):
         session.entries = entries
+        if ca_file is not None:
+            _trust(session, ca_file)
         try:
             return command(session, *args, **kwargs)
         except EntryUnreachableError as exc:
@@ -74,6 +83,14 @@
     return _run
 
 
+def _trust(session, ca_file):
+    try:
+        session.trust(ca_file)
+    except OSError as exc:
+        detail = f"{ca_file}: {exc.strerror or exc}, expected certificates in PEM"
+        raise click.BadParameter(detail, param_hint="--ca") from exc
+
+
 def _check_addresses(ctx, param, value):
     for address in value:
         if not _ADDRESS.fullmatch(address):
--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/session.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/session.py
@@ -36,6 +36,16 @@
         self.entries = ()
         self.as_json = False
 
+    def trust(self, ca_file):
+        """
+        Use TLS; see `HttpTransport.trust`.
+
+        Parameters
+        ----------
+        ca_file : str
+        """
+        self._transport.trust(ca_file)
+
     def ask(self, method, path, payload=None, is_final=lambda status: status != 503):
         """
         Ask the entries in turn until one gives a final answer.
--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/transport.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/transport.py
@@ -1,7 +1,8 @@
 """HTTP with JSON to one entry, on the standard library."""
 
 import json
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPSConnection
+from ssl import create_default_context
 
 from gooseberryyoke_client.exceptions import EntryUnreachableError
 
@@ -14,7 +15,26 @@
 
 
 class HttpTransport:
-    """Sends requests to the operators' port of entries."""
+    """Sends requests to entries; over TLS once told whom to trust."""
+
+    def __init__(self):
+        self._context = None
+
+    def trust(self, ca_file):
+        """
+        Use TLS with entries whose certificates an authority has signed.
+
+        Parameters
+        ----------
+        ca_file : str
+            Certificates of the authority in PEM.
+
+        Raises
+        ------
+        OSError
+            If the file holds no such certificates.
+        """
+        self._context = create_default_context(cafile=ca_file)
 
     def send(self, address, method, path, payload, timeout_s):
         """
@@ -41,7 +61,7 @@
         EntryUnreachableError
             If no whole answer came.
         """
-        conn = _connect(address, timeout_s)
+        conn = self._connect(address, timeout_s)
         try:
             reply = _exchange(conn, method, path, payload)
             return reply.status, _read_json(reply)
@@ -67,7 +87,7 @@
         EntryUnreachableError
             If the entry can't be reached, refuses, or goes silent.
         """
-        conn = _connect(address, _WATCH_TIMEOUT_S)
+        conn = self._connect(address, _WATCH_TIMEOUT_S)
         try:
             reply = _exchange(conn, "GET", path, None)
             if reply.status != 200:
@@ -80,10 +100,12 @@
         finally:
             conn.close()
 
-
-def _connect(address, timeout_s):
-    host, _, port = address.rpartition(":")
-    return HTTPConnection(host.strip("[]"), int(port), timeout=timeout_s)
+    def _connect(self, address, timeout_s):
+        host, _, port = address.rpartition(":")
+        host, port = host.strip("[]"), int(port)
+        if self._context is None:
+            return HTTPConnection(host, port, timeout=timeout_s)
+        return HTTPSConnection(host, port, timeout=timeout_s, context=self._context)
 
 
 def _exchange(conn, method, path, payload):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
@@ -16,6 +16,7 @@
     Tls,
 )
 from gooseberryyoke_daemon.settings.sign_off_keys import load_sign_off_keys
+from gooseberryyoke_daemon.settings.tls import load_tls
 
 __all__ = [
     "AgentSettings",
@@ -30,5 +31,6 @@
     "load_internal_keys",
     "load_settings",
     "load_sign_off_keys",
+    "load_tls",
     "parse_settings",
 ]
