Give requests that are no valid HTTP a verdict in the client

Cause: a header value with a line break raised an error of the protocol library from the client, past every handler of wire errors; in a process that relays requests of others it would have ended the process.

Ruled out: dropping such headers, which would change a request in silence.

Change: `UnsendableRequest`, a wire error with the verdict not-run; the request is encoded before its first byte is written. A reply that ends before its first byte says so.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
@@ -6,6 +6,7 @@
 from gooseberryyoke_daemon.wire.exceptions import (
     ConnectFailed,
     ExchangeBroken,
+    UnsendableRequest,
     WireError,
 )
 from gooseberryyoke_daemon.wire.limits import Limits
@@ -33,6 +34,7 @@
     "Response",
     "Signer",
     "TcpNetwork",
+    "UnsendableRequest",
     "Verifier",
     "WireError",
     "json_response",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
@@ -63,6 +63,21 @@
         self.early_bytes += len(data)
         return bool(data)
 
+    def encode(self, *events):
+        """
+        Turn events into bytes, as if they were sent.
+
+        Parameters
+        ----------
+        *events : h11.Event
+            In the order of the protocol.
+
+        Returns
+        -------
+        bytes
+        """
+        return b"".join(self.conn.send(event) or b"" for event in events)
+
     async def send(self, *events):
         """
         Write events in one go.
@@ -72,7 +87,7 @@
         *events : h11.Event
             In the order of the protocol.
         """
-        data = b"".join(self.conn.send(event) or b"" for event in events)
+        data = self.encode(*events)
         if data:
             await self.stream.send_all(data)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -9,7 +9,11 @@
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS, Channel
-from gooseberryyoke_daemon.wire.exceptions import ConnectFailed, ExchangeBroken
+from gooseberryyoke_daemon.wire.exceptions import (
+    ConnectFailed,
+    ExchangeBroken,
+    UnsendableRequest,
+)
 from gooseberryyoke_daemon.wire.limits import Limits
 from gooseberryyoke_daemon.wire.message import VERDICT_HEADER, Request, find_header
 from gooseberryyoke_daemon.wire.pool import Pool
@@ -98,6 +102,8 @@
         ------
         ConnectFailed
             If there was no connection: the request did not run.
+        UnsendableRequest
+            If it is no valid HTTP: it did not run.
         ExchangeBroken
             If it broke after the first byte may have left.
         """
@@ -277,27 +283,37 @@
         await trio.aclose_forcefully(channel.stream)
 
     async def _exchange(self):
-        self.channel.early_bytes = 0
-        request = self._client.prepare(self._address, self._request)
+        channel = self.channel
+        channel.early_bytes = 0
+        data = self._encode(self._client.prepare(self._address, self._request))
         try:
-            await self._write(request)
+            await self._write(data)
             head = await self._read_head()
         except STREAM_ERRORS as exc:
             raise ExchangeBroken(self._address, f"connection lost: {exc}") from exc
         except h11.RemoteProtocolError as exc:
-            raise ExchangeBroken(self._address, f"no valid reply: {exc}") from exc
-        return self._client.reply_to(self._address, self.channel, head)
-
-    async def _write(self, request):
-        headers = [*request.headers, ("content-length", str(len(request.body)))]
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[(name, value.encode("latin-1")) for name, value in headers],
-        )
-        parts = [h11.Data(request.body)] if request.body else []
+            detail = "closed before a reply"
+            if channel.early_bytes:
+                detail = f"no valid reply: {exc}"
+            raise ExchangeBroken(self._address, detail) from exc
+        return self._client.reply_to(self._address, channel, head)
+
+    def _encode(self, request):
+        try:
+            headers = [*request.headers, ("content-length", str(len(request.body)))]
+            head = h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=[(name, value.encode("latin-1")) for name, value in headers],
+            )
+            parts = [h11.Data(request.body)] if request.body else []
+            return self.channel.encode(head, *parts, h11.EndOfMessage())
+        except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
+            raise UnsendableRequest(self._address, f"no valid HTTP: {exc}") from exc
+
+    async def _write(self, data):
         try:
-            await self.channel.send(head, *parts, h11.EndOfMessage())
+            await self.channel.stream.send_all(data)
         except trio.BrokenResourceError:
             # A server may refuse a long body before its end and close; its answer
             # can still be read. If there is none, the read fails in turn.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/exceptions.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/exceptions.py
@@ -2,7 +2,13 @@
 
 from gooseberryyoke.outcome import Verdict
 
-__all__ = ["ConnectFailed", "ExchangeBroken", "RequestRefused", "WireError"]
+__all__ = [
+    "ConnectFailed",
+    "ExchangeBroken",
+    "RequestRefused",
+    "UnsendableRequest",
+    "WireError",
+]
 
 
 class WireError(Exception):
@@ -36,6 +42,12 @@
     verdict = Verdict.NOT_RUN
 
 
+class UnsendableRequest(WireError):  # noqa: N818
+    """The request is no valid HTTP, so no byte of it was written."""
+
+    verdict = Verdict.NOT_RUN
+
+
 class ExchangeBroken(WireError):  # noqa: N818
     """The request was written, wholly or in part, and no whole answer came."""
 
