Take time zones from the installed data, the same on every instance

Cause: Python prefers the operating system's zone files; two instances with files of different years would give a caller two patiences for one hour.

Ruled out: checking the release of the system's files at start, as they may be changed under a running process.

The help of rate_per_s and burst says that they are hints.

With the system's files taken instead, the test with a file of another zone fails.

--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/tests/test_client_sessions.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/tests/test_client_sessions.py
@@ -173,6 +173,8 @@
         ],
     }
     shell.run("watch --until-version 1")
+    shell.deployment.down = set()
+    shell.run("watch --until-version 1 --json")
     shell.deployment.down = {"10.0.0.1:7201"}
     shell.run("watch --until-version 2", 3)
     assert shell.transcript() == snapshot
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/patience.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/patience.py
@@ -1,9 +1,8 @@
 """How long a caller waits, by the hour of the day where the caller is."""
 
 from datetime import datetime
-from functools import cache
-from zoneinfo import ZoneInfo
 
+from gooseberryyoke.document import time_zone
 from gooseberryyoke.record import Record
 
 __all__ = ["Patience", "PatienceWindow", "local_minute"]
@@ -12,12 +11,7 @@
 _MINUTES_A_DAY = 24 * _MINUTES_AN_HOUR
 
 
-@cache
-def _zone(name):
-    return ZoneInfo(name)
-
-
-def local_minute(now_s, time_zone):
+def local_minute(now_s, zone_name):
     """
     Find the minute of the local day.
 
@@ -25,8 +19,8 @@
     ----------
     now_s : float
         Seconds since 1970 in UTC.
-    time_zone : str
-        IANA name.
+    zone_name : str
+        Of an IANA time zone.
 
     Returns
     -------
@@ -39,7 +33,7 @@
     >>> local_minute(0.0, "Europe/Riga")
     180
     """
-    local = datetime.fromtimestamp(now_s, _zone(time_zone))
+    local = datetime.fromtimestamp(now_s, time_zone(zone_name))
     return local.hour * _MINUTES_AN_HOUR + local.minute
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/schema.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/schema.py
@@ -90,9 +90,15 @@
         "rate_per_s",
         Number(0.001, 1e6),
         default=None,
-        help="Requests a second that the account is expected to stay under.",
+        help="Requests a second that the account is expected to stay under; a hint for "
+        "planning, nothing is refused for it.",
+    ),
+    Key(
+        "burst",
+        Number(1, 1e6),
+        default=None,
+        help="Requests that may come at once; a hint as well.",
     ),
-    Key("burst", Number(1, 1e6), default=None, help="Requests that may come at once."),
     Key(
         "time_zone",
         TimeZone(),
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/tests/test_patience_windows.py
@@ -0,0 +1,88 @@
+import random
+import zoneinfo
+from datetime import datetime
+from importlib.resources import files
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from yaml import safe_dump
+
+from gooseberryyoke.bundle import PatienceWindow, bundle_content, parse_bundle
+from gooseberryyoke.bundle.patience import local_minute
+from gooseberryyoke.document import time_zone
+
+DAY = range(24 * 60)
+minutes = st.integers(0, DAY.stop - 1)
+windows = st.builds(PatienceWindow, minutes, minutes, st.just(1.0))
+
+
+def covered(window):
+    """Walk from the start, minute by minute, until the window ends."""
+    found, minute = set(), window.start_minute
+    while minute != window.until_minute:
+        found.add(minute)
+        minute = (minute + 1) % DAY.stop
+    return found
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(windows)
+def test_a_window_covers_what_lies_between_its_ends(window):
+    assert {minute for minute in DAY if window.covers(minute)} == covered(window)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(windows, windows)
+def test_windows_overlap_if_they_share_a_minute(first, second):
+    shared = bool(covered(first) & covered(second))
+    if first.start_minute == first.until_minute:
+        return
+    if second.start_minute == second.until_minute:
+        return
+    assert first.overlaps(second) is shared
+    assert second.overlaps(first) is shared
+
+
+def test_the_hour_does_not_depend_on_the_instance(monkeypatch, tmp_path):
+    """
+    Two instances have time zone files of different years.
+
+    A country has changed its clocks meanwhile; by the system's files, one entry would
+    give a caller the patience of the night and the other that of the morning.
+    """
+    now_s = datetime(2026, 7, 1, 12).timestamp()
+    expected = local_minute(now_s, "Europe/Riga")
+    (tmp_path / "Europe").mkdir()
+    (tmp_path / "Europe" / "Riga").write_bytes(_zone_file("Asia/Tokyo"))
+    zoneinfo.reset_tzpath([str(tmp_path)])
+    try:
+        time_zone.cache_clear()
+        zoneinfo.ZoneInfo.clear_cache()
+        stale = zoneinfo.ZoneInfo("Europe/Riga")
+        assert stale.utcoffset(datetime(2026, 7, 1)).total_seconds() == 9 * 3600
+        assert local_minute(now_s, "Europe/Riga") == expected
+    finally:
+        zoneinfo.reset_tzpath()
+        zoneinfo.ZoneInfo.clear_cache()
+
+
+def _zone_file(name):
+    return files("tzdata.zoneinfo").joinpath(name).read_bytes()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_content_of_a_bundle_reads_back_as_the_bundle(celins_text, seed):
+    """Values drawn by a seed must survive parse, content and parse again."""
+    rng = random.Random(seed)
+    text = celins_text
+    for old in ("default_patience_s: 8", "bundle_lease_s: 4", "skew_weight: 5"):
+        key = old.partition(":")[0]
+        text = text.replace(old, f"{key}: {rng.uniform(0.5, 60):.3f}")
+    bundle = parse_bundle(text).unwrap()
+    again = parse_bundle(_yaml(bundle_content(bundle))).unwrap()
+    assert again == bundle
+    assert again.digest == bundle.digest
+
+
+def _yaml(content):
+    return safe_dump(content, sort_keys=False)
--- a/packages/gooseberryyoke/src/gooseberryyoke/document/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/document/__init__.py
@@ -16,7 +16,7 @@
     Text,
 )
 from gooseberryyoke.document.section import REQUIRED, Key, Section
-from gooseberryyoke.document.time import TimeOfDay, TimeZone
+from gooseberryyoke.document.time import TimeOfDay, TimeZone, time_zone
 
 __all__ = [
     "INVALID",
@@ -41,4 +41,5 @@
     "check_document",
     "field_kinds",
     "register",
+    "time_zone",
 ]
