Weigh prefill for the whole batch; share a service by its queue and all entries

Traced: (1) a report's step time is noisy, and times an answer's length that noise outweighs the queue, so that all entries followed it to one server; (2) prefill was counted for one request though it holds up the whole batch, so that prefixes were scattered; (3) one wait for all accounts let a flood fill the queue up to it; (4) each entry saw only its own part of an account; (5) urgent requests were refused for a queue that they overtake.

Change: step time smoothed per slot, two speeds; prefill weighs half the batch slots; own attempts since a report count three times in the score, once in the prediction; queue by priority in the reports; a cap on the wait; the further an account is over its share, the shorter the queue at which it is refused, with some slots kept free; entries tell each other what accounts use.

--- a/packages/gooseberryyoke/src/gooseberryyoke/admission/shares.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/shares.py
@@ -1,7 +1,9 @@
 """Shares of one service between client accounts."""
 
 from collections import OrderedDict
+from heapq import nlargest
 
+from gooseberryyoke.admission.peers import PeerUse
 from gooseberryyoke.record import Record
 
 __all__ = ["AccountUse", "Shares"]
@@ -36,8 +38,8 @@
     """
     Shares of one service between client accounts, by weight.
 
-    The work in flight is what there is to share. An account that has been
-    silent for `ACTIVE_S` leaves its share to the others.
+    The work in flight at all entries is what there is to share. An account that
+    has been silent for `ACTIVE_S` leaves its share to the others.
 
     Parameters
     ----------
@@ -46,11 +48,12 @@
         while the service is contended, from 0 to 1.
     """
 
-    __slots__ = ("borrow", "_uses", "_total_weight", "_total_s")
+    __slots__ = ("borrow", "_uses", "_peers", "_total_weight", "_total_s")
 
     def __init__(self, borrow):
         self.borrow = borrow
         self._uses = OrderedDict()
+        self._peers = PeerUse()
         self._total_weight = 0.0
         self._total_s = 0.0
 
@@ -74,6 +77,7 @@
         use.seen_at_s = now
         self._uses.move_to_end(account)
         self._forget_silent(now)
+        self._peers.forget_silent(now)
 
     def add(self, account, cost_s):
         """
@@ -106,17 +110,17 @@
         float
             Excess in seconds of work in flight; 0 or less within the share.
         """
-        use = self._uses[account]
-        per_weight_s = (self._total_s + cost_s) / self._total_weight
-        share_s = use.weight * per_weight_s
-        excess_s = use.in_flight_s + cost_s - share_s
+        total_s = self._total_s + self._peers.total_s + cost_s
+        per_weight_s = total_s / self._total_weight
+        share_s = self._uses[account].weight * per_weight_s
+        excess_s = self.in_flight_s(account) + cost_s - share_s
         if excess_s <= 0 or not self.borrow:
             return excess_s
         return excess_s - self.borrow * self._unused_s(account, per_weight_s)
 
     def in_flight_s(self, account):
         """
-        Tell the work that an account has in flight.
+        Tell the work that an account has in flight, here and elsewhere.
 
         Parameters
         ----------
@@ -127,11 +131,45 @@
         float
         """
         use = self._uses.get(account)
-        return 0.0 if use is None else use.in_flight_s
+        own_s = 0.0 if use is None else use.in_flight_s
+        return own_s + self._peers.in_flight_s(account)
+
+    def largest(self, limit):
+        """
+        List the accounts with the most work in flight here.
+
+        Parameters
+        ----------
+        limit : int
+
+        Returns
+        -------
+        dict of str to tuple of float
+            Weight and seconds in flight, by account.
+        """
+        busy = [item for item in self._uses.items() if item[1].in_flight_s > 0]
+        found = nlargest(limit, busy, key=lambda item: item[1].in_flight_s)
+        return {account: (use.weight, use.in_flight_s) for account, use in found}
+
+    def take_peer(self, entry, largest, now):
+        """
+        Take what `largest` told at another entry.
+
+        Parameters
+        ----------
+        entry : str
+        largest : dict of str to pair of float
+        now : float
+            Time in seconds.
+        """
+        for account, (weight, _) in largest.items():
+            self.seen(account, weight, now)
+        used_s = {account: used_s for account, (_, used_s) in largest.items()}
+        self._peers.take(entry, used_s, now)
 
     def _unused_s(self, account, per_weight_s):
         return sum(
-            max(0.0, use.weight * per_weight_s - use.in_flight_s)
+            max(0.0, use.weight * per_weight_s - self.in_flight_s(name))
             for name, use in self._uses.items()
             if name != account
         )
--- a/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
@@ -9,13 +9,23 @@
 DEMAND = Demand("drafter", "writer", expected_tokens=100)
 
 
-def predicted(wait_s=0.0, serve_s=3.0):
-    return Choice("s0", wait_s, wait_s + 0.1, wait_s + serve_s)
-
-
-def admit(admission, account="club", wait_s=0.0, patience_s=10.0, now=NOW, weight=1.0):
+def predicted(wait_s=0.0, serve_s=3.0, queue_s=None):
+    queue_s = wait_s or -1.0 if queue_s is None else queue_s
+    return Choice("s0", wait_s, wait_s + 0.1, wait_s + serve_s, queue_s)
+
+
+def admit(
+    admission,
+    account="club",
+    wait_s=0.0,
+    patience_s=10.0,
+    now=NOW,
+    weight=1.0,
+    queue_s=None,
+):
+    choice = predicted(wait_s, queue_s=queue_s)
     return admission.admit(
-        account, weight, "draft", DEMAND, predicted(wait_s), now + patience_s, now
+        account, weight, "draft", DEMAND, choice, now + patience_s, now
     )
 
 
@@ -34,6 +44,7 @@
     "wait_s, patience_s, reason, retry_after_s",
     [
         (9.0, 10.0, "too-late", 2.0),
+        (4.0, 10.0, "queue-full", 1.0),
         (0.0, 2.0, "patience-too-short", None),
         (0.0, -1.0, "deadline-passed", None),
     ],
@@ -88,3 +99,70 @@
     admit(admission, "large")
     assert not is_successful(admit(admission, "large", wait_s=0.3))
     assert is_successful(admit(admission, "large", wait_s=0.3, now=NOW + 31))
+
+
+def test_overtaken_queue_counts_for_the_shares_of_all():
+    """
+    A large account sends urgent requests, which overtake the queue.
+
+    Each of them waits for next to nothing itself, while the queue of the others
+    gets longer. It is that queue which tells that the service is contended.
+    """
+    admission = Admission(borrow=0.0)
+    admit(admission, "small")
+    for _ in range(50):
+        admit(admission, "large")
+    refusal = admit(admission, "large", wait_s=0.0, queue_s=2.0).failure()
+    assert refusal.reason == "over-share"
+    assert is_successful(admit(admission, "small", wait_s=0.0, queue_s=2.0))
+
+
+def test_the_further_over_its_share_the_earlier_an_account_is_refused():
+    admission = Admission(contended_wait_s=1.0, borrow=0.0, headroom_s=0.5)
+    for _ in range(10):
+        admit(admission, "small")
+    for _ in range(12):
+        admit(admission, "medium")
+    for _ in range(80):
+        admit(admission, "large")
+    assert not is_successful(admit(admission, "large", wait_s=0.2))
+    assert is_successful(admit(admission, "medium", wait_s=0.2))
+
+
+def test_flood_through_one_entry():
+    """
+    One account floods a service through one entry, others use another.
+
+    Each entry alone sees no account over its share: the first knows only the
+    flood, the second takes its own middling accounts for the large ones and
+    refuses them. They tell each other what accounts use.
+    """
+    flooded, other = Admission(borrow=0.0), Admission(borrow=0.0)
+    for _ in range(100):
+        admit(flooded, "large")
+    admit(other, "small")
+    for _ in range(4):
+        admit(other, "medium")
+    assert is_successful(admit(flooded, "large", wait_s=2.0))
+    assert not is_successful(admit(other, "medium", wait_s=2.0))
+    flooded.take_usage("e2", other.usage(), NOW)
+    other.take_usage("e1", flooded.usage(), NOW)
+    assert not is_successful(admit(flooded, "large", wait_s=2.0))
+    assert is_successful(admit(other, "medium", wait_s=2.0))
+
+
+def test_word_of_a_silent_entry_is_dropped():
+    admission = Admission(borrow=0.0)
+    admission.take_usage("e2", {"drafter": {"large": (1.0, 500.0)}}, NOW)
+    admit(admission, "small")
+    assert is_successful(admit(admission, "small", wait_s=2.0, now=NOW + 1))
+    admit(admission, "large", now=NOW + 6)
+    assert not is_successful(admit(admission, "small", wait_s=2.0, now=NOW + 6))
+
+
+def test_usage_tells_the_largest_accounts_only():
+    admission = Admission()
+    for account, requests in (("a", 1), ("b", 3), ("c", 2)):
+        for _ in range(requests):
+            admit(admission, account)
+    assert list(admission.usage(limit=2)["drafter"]) == ["b", "c"]
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/choose.py
@@ -3,14 +3,14 @@
 from returns.result import Failure, Success
 
 from gooseberryyoke.balance.policy import POLICIES
-from gooseberryyoke.balance.predictive import EarliestFinish
+from gooseberryyoke.balance.predictive import LeastCost
 from gooseberryyoke.outcome import Refusal, Verdict
 
 __all__ = ["choose"]
 
 UNAVAILABLE = 503
 NO_SERVER_RETRY_S = 2.0
-DEFAULT_POLICY = POLICIES[EarliestFinish.name]
+DEFAULT_POLICY = POLICIES[LeastCost.name]
 
 
 def choose(fleet, demand, now, rng, exclude=(), policy=DEFAULT_POLICY):
@@ -30,7 +30,7 @@
     exclude : collection of str
         Servers that earlier attempts of the request have tried.
     policy : Policy
-        By default the one that picks the earliest predicted finish.
+        By default the one that picks the least cost.
 
     Returns
     -------
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/fleet.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/fleet.py
@@ -1,6 +1,6 @@
 """What one entry knows of all backend servers."""
 
-from gooseberryyoke.balance.demand import PREFIX_BLOCK_TOKENS
+from gooseberryyoke.balance.crowd import Crowd
 from gooseberryyoke.balance.pool import Pool
 from gooseberryyoke.balance.prefix import PrefixIndex
 from gooseberryyoke.balance.sent import Sent
@@ -25,7 +25,7 @@
     Times are seconds on one clock of the entry, passed in as ``now``.
     """
 
-    __slots__ = ("data_centre", "prefixes", "_views", "_pools", "_closed")
+    __slots__ = ("data_centre", "prefixes", "_views", "_pools", "_closed", "_crowds")
 
     def __init__(self, data_centre, prefixes=None):
         self.data_centre = data_centre
@@ -33,6 +33,7 @@
         self._views = {}
         self._pools = {}
         self._closed = {}
+        self._crowds = {}
 
     def __len__(self):
         return len(self._views)
@@ -115,7 +116,8 @@
             self._take_out(view)
         if view is None or view.incarnation != incarnation:
             self.prefixes.forget(server_id)
-            view = ServerView(server_id, incarnation, data_centre, service)
+            crowd = self._crowds.setdefault(service, Crowd())
+            view = ServerView(server_id, incarnation, data_centre, service, crowd=crowd)
             self._views[server_id] = view
         view.data_centre = data_centre
         view.service = service
@@ -169,7 +171,7 @@
         view = self._views.get(server_id)
         return view is not None and view.take_report(report, now)
 
-    def dispatched(self, server_id, attempt_id, demand, now):
+    def dispatched(self, server_id, attempt_id, demand, now, cached_tokens=0):
         """
         Note an own attempt, before the next choice.
 
@@ -179,17 +181,20 @@
         attempt_id : hashable
         demand : Demand
         now : float
+        cached_tokens : int
+            As the choice tells.
         """
         view = self._views.get(server_id)
         if view is None:
             return
-        view.sent(attempt_id, Sent(now, demand))
+        awaited_tokens = max(0, demand.prompt_tokens - cached_tokens)
+        view.sent(attempt_id, Sent(now, demand, awaited_tokens))
         pool = self._pools.get((demand.service, demand.model))
         if pool is not None:
             pool.learn(demand.expected_tokens)
         self.prefixes.stored(server_id, demand.prefix_digests)
 
-    def first_token(self, server_id, attempt_id, now, cached_tokens=None):
+    def first_token(self, server_id, attempt_id, now):
         """
         Note the first token of an own attempt.
 
@@ -198,13 +203,12 @@
         server_id : str
         attempt_id : hashable
         now : float
-        cached_tokens : int, optional
-            Prompt tokens found in the cache, if the engine tells.
         """
         view = self._views.get(server_id)
-        sent = view.in_flight.get(attempt_id) if view is not None else None
+        sent = view.started(attempt_id) if view is not None else None
         if sent is not None:
-            view.succeeded()
+            # Events may be lost for good; but now the whole prompt is cached.
+            self.prefixes.stored(server_id, sent.demand.prefix_digests)
 
     def finished(self, server_id, attempt_id, now):
         """
@@ -238,21 +242,6 @@
         if sent is not None:
             self.prefixes.evicted(server_id, sent.demand.prefix_digests)
 
-    def cached_tokens(self, blocks, demand):
-        """
-        Turn matched blocks into prompt tokens.
-
-        Parameters
-        ----------
-        blocks : int
-        demand : Demand
-
-        Returns
-        -------
-        int
-        """
-        return min(blocks * PREFIX_BLOCK_TOKENS, demand.prompt_tokens)
-
     def _put_in(self, view):
         pools = self._closed if view.leaving or view.cold else self._pools
         for key in _keys(view):
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/predictive.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/predictive.py
@@ -1,33 +1,33 @@
-"""The policy in use: the server that should finish the answer first."""
+"""The policy in use: the server where the request costs the least time."""
 
 from gooseberryyoke.balance.policy import Policy, register
-from gooseberryyoke.balance.prediction import predict
+from gooseberryyoke.balance.prediction import predict, score
 
-__all__ = ["EarliestFinish"]
+__all__ = ["LeastCost"]
 
 SCORED_AT_MOST = 16
 NEAR_BEST = 0.02
 
 
 @register
-class EarliestFinish(Policy):
+class LeastCost(Policy):
     """
-    The server that should finish the answer first.
+    The server where the request costs the least time, its own and others'.
 
     Scores a bounded sample of servers, most of them from the entry's own data
     centre, and the servers that hold the longest prefixes, so that the cost
     of a choice does not grow with the fleet.
     """
 
-    name = "earliest-finish"
+    name = "least-cost"
 
     def pick(self, fleet, pool, usable, demand, now, rng):
-        """Pick the server with the earliest predicted finish."""
+        """Pick a server with the lowest cost."""
         blocks = fleet.prefixes.matches(demand.prefix_digests)
         views = self._candidates(fleet, pool, blocks, usable, rng)
         mean_tokens = pool.mean_tokens or demand.expected_tokens
-        choices = [
-            predict(
+        scores = [
+            score(
                 view,
                 demand,
                 mean_tokens,
@@ -37,13 +37,18 @@
             )
             for view in views
         ]
-        if not choices:
+        if not scores:
             return None
-        best_s = min(choice.predicted_finish_s for choice in choices)
         # Entries that read the same report would all pick the same server:
         # a draw among near equals spreads them.
-        limit_s = best_s * (1 + NEAR_BEST)
-        return rng.choice([c for c in choices if c.predicted_finish_s <= limit_s])
+        limit_s = min(scores) * (1 + NEAR_BEST)
+        near_best = [
+            v for v, cost_s in zip(views, scores, strict=True) if cost_s <= limit_s
+        ]
+        view = rng.choice(near_best)
+        near = view.data_centre == fleet.data_centre
+        held = blocks.get(view.server_id, 0)
+        return predict(view, demand, mean_tokens, now, near, held)
 
     def _candidates(self, fleet, pool, blocks, usable, rng):
         views = pool.sample(fleet.data_centre, SCORED_AT_MOST, rng)
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/report.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/report.py
@@ -29,6 +29,9 @@
         Recent rate at which prompt tokens are prefilled.
     waiting_tokens : int
         Prompt tokens of the queued requests and of those still in prefill.
+    queued_by_priority : tuple of (int, int)
+        Pairs of a priority and the queued requests that have it; empty if the
+        server doesn't tell.
     """
 
     __slots__ = (
@@ -40,6 +43,7 @@
         "step_s",
         "prefill_tokens_per_s",
         "waiting_tokens",
+        "queued_by_priority",
     )
 
     def __init__(
@@ -52,6 +56,7 @@
         step_s,
         prefill_tokens_per_s=8000.0,
         waiting_tokens=0,
+        queued_by_priority=(),
     ):
         self.sequence = sequence
         self.age_s = age_s
@@ -61,3 +66,19 @@
         self.step_s = step_s
         self.prefill_tokens_per_s = prefill_tokens_per_s
         self.waiting_tokens = waiting_tokens
+        self.queued_by_priority = tuple(tuple(pair) for pair in queued_by_priority)
+
+    def queued_behind(self, priority):
+        """
+        Count the queued requests that a request would overtake.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of the request; lower goes first.
+
+        Returns
+        -------
+        int
+        """
+        return sum(n for other, n in self.queued_by_priority if other > priority)
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
@@ -56,11 +56,11 @@
     for attempt in range(5):
         fleet.dispatched("s0", attempt, DEMAND, NOW + 1)
     view = fleet.get("s0")
-    assert view.pending() == 8 + 5
+    assert view.pending(NOW + 3) == 8 + 5
     fleet.reported("s0", make_report(2, running=13, age_s=0.5), NOW + 2)
-    assert view.pending() == 13
+    assert view.pending(NOW + 3) == 13
     fleet.finished("s0", 0, NOW + 3)
-    assert view.pending() == 12
+    assert view.pending(NOW + 3) == 12
 
 
 def test_older_report_that_comes_late_is_dropped():
@@ -82,10 +82,10 @@
     fleet.prefixes.stored("s0", range(10))
     fleet.dispatched("s0", "x", DEMAND, NOW)
     fleet.announced("s0", 2, "a", "drafter", ["writer"])
-    assert fleet.get("s0").pending() == 0
+    assert fleet.get("s0").pending(NOW) == 0
     assert fleet.prefixes.matches(range(10)) == {}
     fleet.finished("s0", "x", NOW + 1)
-    assert fleet.get("s0").pending() == 0
+    assert fleet.get("s0").pending(NOW) == 0
 
 
 def test_cold_server_serves_only_when_no_other_can():
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/view.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/view.py
@@ -2,11 +2,15 @@
 
 from collections import deque
 
+from gooseberryyoke.balance.crowd import Crowd
+from gooseberryyoke.balance.pace import Pace
+
 __all__ = ["ServerView"]
 
 FINISHES_KEPT = 256
 SHUN_FIRST_S = 0.5
 SHUN_MAX_S = 8.0
+STALE_AFTER_S = 5.0
 
 
 class ServerView:
@@ -26,6 +30,8 @@
         The server takes no new work.
     cold : bool
         The server is still loading or warming up.
+    crowd : Crowd, optional
+        Shared by the servers of a service.
 
     Attributes
     ----------
@@ -35,6 +41,10 @@
         When the newest report was read at the server, on the entry's clock.
     in_flight : dict
         Own attempts without an end, as ``{attempt_id: Sent}``.
+    pace : Pace
+        Step time, which tells a straggler.
+    awaited_tokens : int
+        Prompt tokens of own attempts that wait for their first token.
     shunned_until_s : float
         Servers that failed lately are used only if no other is left.
     """
@@ -52,9 +62,12 @@
         "in_flight",
         "sent_since",
         "finished_since",
+        "pace",
+        "awaited_tokens",
         "shunned_until_s",
         "_failures",
         "_finishes",
+        "_crowd",
     )
 
     def __init__(
@@ -66,6 +79,7 @@
         models=(),
         leaving=False,
         cold=False,
+        crowd=None,
     ):
         self.server_id = server_id
         self.incarnation = incarnation
@@ -79,9 +93,12 @@
         self.in_flight = {}
         self.sent_since = 0
         self.finished_since = 0
+        self.pace = Pace()
+        self.awaited_tokens = 0
         self.shunned_until_s = float("-inf")
         self._failures = 0
         self._finishes = deque(maxlen=FINISHES_KEPT)
+        self._crowd = Crowd() if crowd is None else crowd
 
     def take_report(self, report, now):
         """
@@ -103,6 +120,8 @@
         self.report = report
         self.taken_at_s = now - report.age_s
         self._count_since_report()
+        self.pace.learn(report)
+        self._crowd.learn(report.running + report.queued, len(self.in_flight))
         return True
 
     def sent(self, attempt_id, sent):
@@ -115,8 +134,29 @@
         sent : Sent
         """
         self.in_flight[attempt_id] = sent
+        self.awaited_tokens += sent.awaited_tokens
         self.sent_since += 1
 
+    def started(self, attempt_id):
+        """
+        Note the first token of an own attempt.
+
+        Parameters
+        ----------
+        attempt_id : hashable
+
+        Returns
+        -------
+        Sent or None
+            The attempt; None if it is unknown.
+        """
+        sent = self.in_flight.get(attempt_id)
+        if sent is not None:
+            self.awaited_tokens -= sent.awaited_tokens
+            sent.awaited_tokens = 0
+            self.succeeded()
+        return sent
+
     def ended(self, attempt_id, now):
         """
         Note the end of an own attempt.
@@ -135,6 +175,7 @@
         sent = self.in_flight.pop(attempt_id, None)
         if sent is None:
             return None
+        self.awaited_tokens -= sent.awaited_tokens
         if sent.at_s > self.taken_at_s:
             self.sent_since -= 1
         else:
@@ -162,22 +203,30 @@
         self._failures = min(self._failures + 1, 8)
         self.shunned_until_s = now + pause_s
 
-    def pending(self):
+    def pending(self, now, own_weight=1):
         """
         Estimate the requests at the server now.
 
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        own_weight : float
+            Weight of own attempts sent or ended since the report.
+
         Returns
         -------
-        int
-            The report's count, with own attempts sent since it was read and
-            without those that have ended since.
+        float
+            The report's count, corrected by own attempts since it was read. If
+            the report is stale, own attempts in flight, scaled by the part that
+            they used to be of all.
         """
-        if self.report is None:
-            return len(self.in_flight)
+        own = len(self.in_flight)
+        if now - self.taken_at_s > STALE_AFTER_S:
+            return own * self._crowd.factor()
         reported = self.report.running + self.report.queued
-        return max(
-            reported + self.sent_since - self.finished_since, len(self.in_flight)
-        )
+        since = self.sent_since - self.finished_since
+        return max(reported + own_weight * since, own)
 
     def _count_since_report(self):
         taken_at_s = self.taken_at_s
