Search schedules of registers and claims for histories that can't be

Single failure tests show single schedules; the safeguards matter where faults meet.

A world of the state machines under a seeded scheduler: messages reordered, doubled and lost, records lost unsynced at crashes, disks lost and repaired page by page, in three profiles; a checker of each register's history (nothing acknowledged lost, nothing denied shown, versions never back, no write over another). `make proof` searches longer.

Two more safeguards of the claims had no test that failed without them and got one each.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,8 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+proof: $(VENV)/installed
+	$(BIN)/python -m tools.proof
+
 clean:
 	rm -rf $(VENV) out
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/claims/tests/test_claim_keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/claims/tests/test_claim_keeper.py
@@ -11,6 +11,7 @@
     Wait,
     keep_answer,
 )
+from gooseberryyoke.register import Unavailable
 from gooseberryyoke_daemon.claims import (
     ClaimKeeper,
     ClaimLost,
@@ -283,6 +284,52 @@
     run(main)
 
 
+def test_release_that_another_repeat_has_overtaken_takes_nothing_over():
+    """
+    The second repeat does not write over the first one's reservation. Both barred
+    the dead entry's attempt; the first released and reserved while the second
+    was about to release.
+    """
+
+    async def main(replicas, agent, e1, e2):
+        await e1.reserve()
+        overtaken = []
+
+        async def ask(claim):
+            word = await agent.ask(claim)
+            if not overtaken:
+                overtaken.append((await e1.reserve()).unwrap())
+            return word
+
+        e2.resolver = ClaimResolver(e2.keeper, ask)
+        decision = await e2.resolver._once("acc", "k", "d")
+        assert decision.unwrap() == Wait()
+        found = (await e2.keeper.lookup("acc", "k")).unwrap()
+        assert found == overtaken[0]
+
+    run(main)
+
+
+def test_reservation_of_another_is_not_taken_for_ones_own():
+    """
+    An entry never dispatches under another's reservation. Its own write's answer
+    is lost; what stands there when it looks again is another entry's claim.
+    """
+
+    async def main(replicas, agent, e1, e2):
+        theirs = (await e1.reserve()).unwrap()
+        registers = e2.keeper._registers
+
+        async def unknown(*args):
+            return Failure(Unavailable(True, "lost"))
+
+        registers.write = unknown
+        result = await e2.keeper.reserve("acc", "k", "d", "a9", "agent-1", "life-1", 0)
+        assert result.failure() == ClaimLost(theirs)
+
+    run(main)
+
+
 @pytest.mark.parametrize("step", ["reserve", "run", "settle"])
 @pytest.mark.parametrize("lost", ["r1", "r2", "r3"])
 def test_replica_lost_at_each_step_changes_nothing(step, lost):
--- /dev/null
+++ b/tools/proof/world.py
@@ -0,0 +1,458 @@
+"""Registers under a scheduler that reorders, doubles, loses, crashes and repairs."""
+
+from collections import Counter
+from random import Random
+
+from returns.result import Success
+
+from gooseberryyoke.record import Record
+from gooseberryyoke.register import (
+    Acceptor,
+    CollectOperation,
+    Proposer,
+    ReadOperation,
+    ReplicaState,
+    WriteOperation,
+    majority,
+)
+from gooseberryyoke.register.changes import (
+    FloorRaised,
+    Founded,
+    Identified,
+    Joined,
+    SeatTaken,
+    SlotStored,
+)
+from gooseberryyoke.register.identity import Incarnation, largest_consistent
+from gooseberryyoke.register.messages import Copy, CopyPage, Hello
+from gooseberryyoke.register.repair import (
+    Admission,
+    judge_fresh,
+    judge_kept,
+    merge_slot,
+    next_incarnation,
+)
+from gooseberryyoke.register.state import READY
+from tools.proof.history import Entry, History
+
+__all__ = ["PROFILES", "Profile", "RegisterWorld"]
+
+_DEADLINE_S = 4.0
+_PAGE_SLOTS = 2
+_SETTLE_STEPS = 20_000
+
+
+class Profile(Record):
+    """
+    How often what happens; weights against one another.
+
+    Parameters
+    ----------
+    step_s : float
+        Time that a step takes.
+    request, reply, sync : float
+        Delivery of a request or a reply, and a replica's sync.
+    crash, disk, join : float
+        Crash, loss of a disk, and a step of a replica on its way back.
+    """
+
+    __slots__ = ("step_s", "request", "reply", "sync", "crash", "disk", "join")
+
+    def __init__(self, step_s, request, reply, sync, crash, disk, join):
+        self.step_s = step_s
+        self.request = request
+        self.reply = reply
+        self.sync = sync
+        self.crash = crash
+        self.disk = disk
+        self.join = join
+
+
+PROFILES = {
+    "mixed": Profile(0.01, 30, 30, 20, 0.8, 0.6, 8),
+    # Replicas are replaced while single messages of a round are still on the way.
+    "replaced": Profile(0.002, 8, 12, 20, 0.2, 2.0, 60),
+    # Little goes wrong but the order, so that many operations come to an end.
+    "crossed": Profile(0.004, 20, 20, 30, 0.05, 0.05, 8),
+}
+
+
+class _Replica:
+    """One replica: what is synced, what is not, and how far it has joined."""
+
+    def __init__(self, seat, changes):
+        self.seat = seat
+        self.synced = list(changes)
+        self.unsynced = []
+        self.is_up = True
+        self.copied = {}
+        self.load()
+
+    def load(self):
+        """Forget all that is not synced."""
+        state = ReplicaState()
+        for change in self.synced:
+            state.apply(change)
+        self.unsynced = []
+        self.copied = {}
+        self.acceptor = Acceptor(state, is_admitted=True)
+
+    @property
+    def state(self):
+        return self.acceptor.state
+
+    @property
+    def is_ready(self):
+        return self.is_up and self.acceptor.phase() == READY
+
+    def record(self, changes):
+        """Apply and sync."""
+        for change in changes:
+            self.state.apply(change)
+        self.synced += changes
+
+    def sync(self):
+        """Sync; return the replies that waited for it."""
+        replies = [reply for _, reply in self.unsynced]
+        for changes, _ in self.unsynced:
+            self.synced += changes
+        self.unsynced = []
+        return replies
+
+
+class _Client:
+    """One operation that goes on."""
+
+    def __init__(self, proposer, began):
+        self.proposer = proposer
+        self.began = began
+
+
+class RegisterWorld:
+    """
+    Replicas and proposers, driven step by step by a seed.
+
+    Parameters
+    ----------
+    seed : int or random.Random
+        Chooses every step.
+    size : int
+        Number of replicas.
+    operations : int
+        How many to begin.
+    keys : int
+        Number of registers.
+    profile : Profile, optional
+
+    Attributes
+    ----------
+    faults_injected : Counter
+        By kind.
+    histories : dict of str to History
+        By register.
+    """
+
+    def __init__(self, seed, size=3, operations=12, keys=1, profile=None):
+        self.profile = profile or PROFILES["mixed"]
+        self.rng = seed if isinstance(seed, Random) else Random(seed)
+        self.seats = tuple(f"r{number}" for number in range(1, size + 1))
+        founders = {seat: Incarnation(1, seat) for seat in self.seats}
+        self.replicas = {
+            seat: _Replica(seat, [Identified(seat, founders[seat]), Founded(founders)])
+            for seat in self.seats
+        }
+        self.faults_injected = Counter()
+        self.histories = {f"k{number}": History() for number in range(keys)}
+        self.steps = 0
+        self._left = operations
+        self._count = 0
+        self._requests = []
+        self._replies = []
+        self._clients = {}
+
+    @property
+    def now(self):
+        """Time in seconds."""
+        return self.steps * self.profile.step_s
+
+    def run(self):
+        """
+        Run one schedule to its end.
+
+        Returns
+        -------
+        list of str
+            Faults of the histories; empty if all is well.
+        """
+        while self._left or self._clients:
+            self._step()
+        self._settle()
+        return [
+            f"{key}: {fault}"
+            for key, history in self.histories.items()
+            for fault in history.faults()
+        ]
+
+    def operations(self):
+        """
+        Count the operations by outcome.
+
+        Returns
+        -------
+        Counter
+        """
+        return Counter(
+            "read"
+            if entry.is_read
+            else "written"
+            if entry.is_written
+            else "denied"
+            if entry.is_denied
+            else "open"
+            for history in self.histories.values()
+            for entry in history.entries
+        )
+
+    def _step(self):
+        self.steps += 1
+        self._pick()()
+        self._reap()
+
+    def _pick(self):
+        possible = [(action, weight) for action, weight in self._actions() if weight]
+        left = self.rng.random() * sum(weight for _, weight in possible)
+        for action, weight in possible:
+            left -= weight
+            if left < 0:
+                return action
+        return possible[-1][0]
+
+    def _actions(self):
+        profile = self.profile
+        yield self._begin, 3 if self._left and len(self._clients) < 4 else 0
+        yield self._deliver_request, profile.request if self._requests else 0
+        yield self._deliver_reply, profile.reply if self._replies else 0
+        yield self._sync, profile.sync
+        yield self._tick, 4
+        yield self._pass_time, 1
+        yield self._lose_message, 2
+        yield self._double_message, 2
+        yield self._crash, profile.crash
+        yield self._restart, 4
+        yield self._lose_disk, profile.disk
+        yield self._join, profile.join
+
+    def _begin(self):
+        self._left -= 1
+        key = self.rng.choice(list(self.histories))
+        self._start(self._operation(key))
+
+    def _operation(self, key):
+        self._count += 1
+        version = self.rng.choice([0, *self._versions(key)])
+        kind = self.rng.random()
+        if kind < 0.35:
+            return ReadOperation(key)
+        if kind < 0.55:
+            return CollectOperation(key, version)
+        return WriteOperation(key, version, f"v{self._count}")
+
+    def _versions(self, key):
+        """Versions that some caller knows, the latest more often."""
+        shown = [
+            entry.observed.version
+            for entry in self.histories[key].entries
+            if entry.observed is not None
+        ]
+        return shown[-2:] + shown[-1:] * 4
+
+    def _start(self, operation, deadline_s=_DEADLINE_S):
+        identity = f"{self.rng.randrange(8)}-{self._count}-{self.steps}"
+        proposer = Proposer(
+            operation, identity, self.seats, self.rng, self.now + deadline_s
+        )
+        client = self._clients[identity] = _Client(proposer, self.steps)
+        self._send(identity, proposer.start(self.now))
+        return client
+
+    def _send(self, identity, outbound):
+        self._requests += [(out.seat, out.message, identity) for out in outbound]
+
+    def _pop(self, bag):
+        return bag.pop(self.rng.randrange(len(bag)))
+
+    def _deliver_request(self):
+        seat, message, identity = self._pop(self._requests)
+        replica = self.replicas[seat]
+        if not replica.is_up:
+            self._replies.append((identity, seat, None))
+            return
+        answer = replica.acceptor.handle(message)
+        replica.unsynced.append((list(answer.changes), (identity, seat, answer.reply)))
+
+    def _deliver_reply(self):
+        identity, seat, reply = self._pop(self._replies)
+        client = self._clients.get(identity)
+        if client is None:
+            return
+        if reply is None:
+            self._send(identity, client.proposer.failed(seat, self.now))
+        else:
+            self._send(identity, client.proposer.receive(seat, reply, self.now))
+
+    def _sync(self):
+        replica = self.replicas[self.rng.choice(self.seats)]
+        self._replies += replica.sync()
+
+    def _tick(self):
+        for identity, client in list(self._clients.items()):
+            self._send(identity, client.proposer.tick(self.now))
+
+    def _pass_time(self):
+        self.steps += self.rng.randrange(60)
+
+    def _lose_message(self):
+        bag = self.rng.choice([self._requests, self._replies])
+        if bag:
+            self._pop(bag)
+            self.faults_injected["message lost"] += 1
+
+    def _double_message(self):
+        bag = self.rng.choice([self._requests, self._replies])
+        if bag:
+            bag.append(self.rng.choice(bag))
+            self.faults_injected["message doubled"] += 1
+
+    def _crash(self):
+        replica = self.replicas[self.rng.choice(self.seats)]
+        if replica.is_up:
+            replica.is_up = False
+            self.faults_injected["crash"] += 1
+            self.faults_injected["record lost unsynced"] += sum(
+                len(changes) for changes, _ in replica.unsynced
+            )
+            replica.load()
+            replica.acceptor.is_admitted = False
+
+    def _restart(self):
+        replica = self.replicas[self.rng.choice(self.seats)]
+        if not replica.is_up:
+            replica.is_up = True
+            replica.acceptor.is_admitted = False
+
+    def _lose_disk(self):
+        lost = [r for r in self.replicas.values() if r.state.status != READY]
+        if len(lost) >= len(self.seats) - majority(len(self.seats)):
+            return
+        seat = self.rng.choice(self.seats)
+        if self.replicas[seat].state.status == READY:
+            self.faults_injected["disk lost"] += 1
+            incarnation = next_incarnation(seat, [], self.rng)
+            self.replicas[seat] = _Replica(seat, [Identified(seat, incarnation)])
+
+    def _join(self):
+        replica = self.replicas[self.rng.choice(self.seats)]
+        if replica.is_up and not replica.is_ready:
+            self._try_to_join(replica)
+
+    def _try_to_join(self, replica):
+        hellos = self._greet(replica)
+        size = len(self.seats)
+        if replica.state.status == READY:
+            judgement = judge_kept(replica.state, len(replica.synced), size, hellos)
+            if judgement.admission is Admission.SERVE:
+                replica.acceptor.is_admitted = True
+            return
+        judgement = judge_fresh(replica.state, size, hellos, may_found=False)
+        if judgement.admission is Admission.RENEW:
+            incarnation = next_incarnation(replica.seat, hellos, self.rng)
+            replica.record([Identified(replica.seat, incarnation)])
+            replica.copied = {}
+        elif judgement.admission is Admission.COPY:
+            self._copy(replica, judgement.sources)
+
+    def _greet(self, replica):
+        hello = Hello(replica.seat, replica.state.incarnation, 0, True)
+        return [
+            self._call(other, hello)
+            for other in self.replicas.values()
+            if other is not replica and other.is_up
+        ]
+
+    def _call(self, replica, message):
+        """Call a replica that syncs at once."""
+        answer = replica.acceptor.handle(message)
+        self._replies += replica.sync()
+        replica.synced += list(answer.changes)
+        return answer.reply
+
+    def _copy(self, replica, sources):
+        """Copy one more page from one source; end once all are copied."""
+        waiting = [seat for seat in sources if not _is_whole(replica.copied.get(seat))]
+        if not waiting:
+            self._end_copy(replica, sources)
+            return
+        seat = self.rng.choice(waiting)
+        page = replica.copied.get(seat)
+        after = page.slots[-1].key if page is not None else ""
+        message = Copy(replica.seat, replica.state.incarnation, after, _PAGE_SLOTS)
+        page = self._call(self.replicas[seat], message)
+        if not isinstance(page, CopyPage):
+            replica.copied = {}
+            return
+        replica.copied[seat] = page
+        replica.record([_merged(replica, keyed) for keyed in page.slots])
+
+    def _end_copy(self, replica, sources):
+        pages = [replica.copied[seat] for seat in sources]
+        if len(largest_consistent(pages)) < len(pages):
+            replica.copied = {}
+            return
+        changes = [FloorRaised(max(page.floor for page in pages))]
+        for page in pages:
+            changes += [SeatTaken(*item) for item in page.sender.roster.items()]
+        replica.record([*changes, Joined()])
+        self.faults_injected["repair"] += 1
+
+    def _reap(self):
+        for identity, client in list(self._clients.items()):
+            proposer = client.proposer
+            if proposer.result is None:
+                continue
+            del self._clients[identity]
+            entry = Entry(proposer.operation, client.began, self.steps, proposer.result)
+            self.histories[proposer.operation.key].add(entry)
+
+    def _settle(self):
+        """Undo all faults, deliver what is in flight, and read every register."""
+        self._left = 0
+        for key in self.histories:
+            for _ in range(2):
+                self._read_in_peace(key)
+
+    def _read_in_peace(self, key):
+        client = self._start(ReadOperation(key), deadline_s=_SETTLE_STEPS)
+        for _ in range(_SETTLE_STEPS):
+            if client.proposer.result is not None:
+                break
+            self.steps += 1
+            for replica in self.replicas.values():
+                replica.is_up = True
+                if not replica.is_ready:
+                    self._try_to_join(replica)
+            actions = [self._sync, self._tick]
+            actions += [self._deliver_request] * (3 if self._requests else 0)
+            actions += [self._deliver_reply] * (3 if self._replies else 0)
+            self.rng.choice(actions)()
+            self._reap()
+        if not isinstance(client.proposer.result, Success):
+            raise AssertionError(f"{key} could not be read: {client.proposer.result}")
+
+
+def _is_whole(page):
+    return page is not None and not page.more
+
+
+def _merged(replica, keyed):
+    slot = merge_slot(replica.state.slots.get(keyed.key), keyed.slot)
+    return SlotStored(keyed.key, slot)
