Split the definitions of bundle and settings by subject

Ruled out: nothing else was weighed.

Change: fields, calls and provision of the bundle, and the roles of the settings, stand in modules of their own. A path prefix with dot segments is refused, as no request can match it.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
@@ -5,15 +5,12 @@
     load_internal_keys,
 )
 from gooseberryyoke_daemon.settings.reader import load_settings, parse_settings
-from gooseberryyoke_daemon.settings.record import (
+from gooseberryyoke_daemon.settings.record import Listen, Settings, SignOff, Tls
+from gooseberryyoke_daemon.settings.roles import (
     AgentSettings,
     EntrySettings,
-    Listen,
     ReplicaSettings,
     Server,
-    Settings,
-    SignOff,
-    Tls,
 )
 from gooseberryyoke_daemon.settings.sign_off_keys import load_sign_off_keys
 from gooseberryyoke_daemon.settings.tls import load_tls
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
@@ -1,6 +1,7 @@
 """The keys of the settings, with their limits, defaults and meaning."""
 
 from gooseberryyoke.bundle import ENGINE, PLAIN, Replica
+from gooseberryyoke.bundle.fields import MODEL, NAME
 from gooseberryyoke.document import (
     Choice,
     Flag,
@@ -8,7 +9,6 @@
     Key,
     ListOf,
     MapOf,
-    Name,
     Number,
     Section,
     Text,
@@ -16,23 +16,18 @@
 from gooseberryyoke_daemon.logs import LOG_LEVELS
 from gooseberryyoke_daemon.settings.fields import ListenField, PathField
 from gooseberryyoke_daemon.settings.limits import LIMITS
-from gooseberryyoke_daemon.settings.record import (
+from gooseberryyoke_daemon.settings.record import Listen, Settings, SignOff, Tls
+from gooseberryyoke_daemon.settings.roles import (
     AgentSettings,
     EntrySettings,
-    Listen,
     ReplicaSettings,
     Server,
-    Settings,
-    SignOff,
-    Tls,
 )
 
 __all__ = ["ROLES", "SETTINGS"]
 
 ROLES = ("entry", "agent", "replica")
 
-_NAME = Name()
-_MODEL = Text(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}", "the name of a model")
 _URL_PATH = Text(r"/[!-~]{0,255}", "a path of a URL, such as /load")
 _URL = Text(r"https?://[A-Za-z0-9.\[\]:-]{1,255}", "such as http://10.0.0.7:8000")
 _INTERVAL = Number(0.01, 3600)
@@ -78,11 +73,11 @@
 
 SERVER = Section(
     Server,
-    Key("name", _NAME, help="Unique among the servers of the service."),
+    Key("name", NAME, help="Unique among the servers of the service."),
     Key("address", ListenField(), help="Where the server listens."),
     Key("kind", Choice(ENGINE, PLAIN), help="As in the bundle."),
-    Key("service", _NAME, help="As in the bundle."),
-    Key("models", ListOf(_MODEL), default=(), help="Models that it runs."),
+    Key("service", NAME, help="As in the bundle."),
+    Key("models", ListOf(MODEL), default=(), help="Models that it runs."),
     Key(
         "load_path",
         _URL_PATH,
@@ -122,7 +117,7 @@
 
 ENTRY = Section(
     EntrySettings,
-    Key("deployment", _NAME, help="Bundles of another deployment are refused."),
+    Key("deployment", NAME, help="Bundles of another deployment are refused."),
     Key(
         "public_url",
         _URL,
@@ -157,7 +152,7 @@
 
 REPLICA = Section(
     ReplicaSettings,
-    Key("id", _NAME, help="As in the bundle's list of replicas."),
+    Key("id", NAME, help="As in the bundle's list of replicas."),
     Key(
         "may_found",
         Flag(),
@@ -170,14 +165,14 @@
 
 _KNOWN_REPLICA = Section(
     Replica,
-    Key("id", _NAME, help="As in the bundle."),
+    Key("id", NAME, help="As in the bundle."),
     Key("address", ListenField(), help="Its internal address."),
 )
 
 SETTINGS = Section(
     Settings,
-    Key("name", _NAME, help="Unique in the deployment."),
-    Key("data_centre", _NAME, help="Requests stay in it where they can."),
+    Key("name", NAME, help="Unique in the deployment."),
+    Key("data_centre", NAME, help="Requests stay in it where they can."),
     Key(
         "roles",
         ListOf(Choice(*ROLES), least=1, most=len(ROLES)),
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/tests/test_bundle.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/tests/test_bundle.py
@@ -144,6 +144,13 @@
     assert (found and found.name) == name
 
 
+@pytest.mark.parametrize("tail", ["/..", "/./confirm", "/", "/%63", ";v=1"])
+def test_a_path_that_no_request_can_have_is_refused(tail):
+    text = TEXT.replace("meet-app/confirm", f"meet-app{tail}")
+    (mistake,) = parse_bundle(text).failure()
+    assert mistake.path == "classes.confirm.match.path_prefix"
+
+
 def test_the_digest_ignores_layout_and_written_out_defaults(bundle):
     content = bundle_content(bundle)
     again = parse_bundle(safe_dump(content, sort_keys=True)).unwrap()
