--- a/examples/demonstration/deployment.py
+++ b/examples/demonstration/deployment.py
@@ -17,6 +17,7 @@
 _ENTRIES = 4
 _REPLICAS = ("replica-a", "replica-b", "replica-c")
 _SIGNER = "demo-operator"
+_SIGNED = "bundle.signed.json"
 _START_TIMEOUT_S = 45.0
 _POLL_S = 0.1
 _STATUS_PATH = "/operator/status"
@@ -147,14 +148,43 @@
             bundle["durable"]["replicas"], self.entries, strict=False
         ):
             text = text.replace(replica["address"], str(entry.internal))
-        path = self._folder / "bundle.yaml"
+        (self._folder / "bundle.yaml").write_text(text)
+        await self.sign(text)
+        signed = self._folder / _SIGNED
+        await self._operate("roll", signed, *self._entry_options())
+
+    async def sign(self, text):
+        """
+        Sign a bundle off with the operators' client.
+
+        Parameters
+        ----------
+        text : str
+
+        Returns
+        -------
+        dict
+            The signed envelope.
+        """
+        path, signed = self._folder / "to-sign.yaml", self._folder / _SIGNED
         path.write_text(text)
         key = self._folder / f"{_SIGNER}.key.pem"
-        signed = self._folder / "bundle.signed.json"
         await self._operate(
             "sign", path, "--signer", _SIGNER, "--key", key, "--out", signed
         )
-        await self._operate("roll", signed, *self._entry_options())
+        return json.loads(signed.read_text())
+
+    def restart(self, name):
+        """
+        Start a daemon again that was killed or stopped, with its old settings.
+
+        Parameters
+        ----------
+        name : str
+            As started.
+        """
+        path = self._folder / f"{name}.yaml"
+        self.processes.start(name, [binary("gooseberryyoked"), "--settings", str(path)])
 
     async def _wait_for_operators(self):
         for entry in self.entries:
@@ -197,7 +227,7 @@
     def _start_daemon(self, name, settings):
         path = self._folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(settings, sort_keys=False))
-        self.processes.start(name, [binary("gooseberryyoked"), "--settings", str(path)])
+        self.restart(name)
 
     def _shared_settings(self, name, number, roles):
         centres = self.profile.data_centres
--- a/examples/demonstration/processes.py
+++ b/examples/demonstration/processes.py
@@ -55,7 +55,7 @@
         command : list of str
             What to run, from the root of the repository.
         """
-        with (self._folder / f"{name}.log").open("wb") as log:
+        with (self._folder / f"{name}.log").open("ab") as log:
             self._running[name] = subprocess.Popen(
                 command,
                 cwd=ROOT,
--- a/examples/sessions/script.py
+++ b/examples/sessions/script.py
@@ -4,7 +4,7 @@
 
 from gooseberryyoke.record import Record
 
-__all__ = ["Step", "run_script"]
+__all__ = ["Step", "as_text", "run_script"]
 
 _CHAT = "/v1/chat/completions"
 _MEET_APP = "/v1/services/meet-app"
@@ -67,6 +67,31 @@
         self.steps.append(Step(f"entry {entry}: roll {what}", reply.status, {}, shown))
 
 
+def as_text(steps):
+    """
+    Show a session as the text of its golden file.
+
+    Parameters
+    ----------
+    steps : list of Step
+
+    Returns
+    -------
+    str
+    """
+    return "\n\n".join(
+        "\n".join(
+            [
+                step.asked,
+                f"-> {step.status}",
+                *(f"{name}: {value}" for name, value in step.headers.items()),
+                str(step.body),
+            ]
+        )
+        for step in steps
+    )
+
+
 async def run_script(system):
     """
     Run the session.
--- a/examples/sessions/tests/test_golden_session.py
+++ b/examples/sessions/tests/test_golden_session.py
@@ -1,17 +1,20 @@
 from functools import partial
 from pathlib import Path
 
+import trio
 from trio import sleep
 
+from examples.demonstration.deployment import SEED
 from examples.fakes.batch import Batch
 from examples.fakes.engine import FakeEngine
 from examples.fakes.orders import Orders
 from examples.fakes.service import FakeService
-from examples.sessions.script import run_script
+from examples.sessions.script import as_text, run_script
+from examples.sessions.system import running
 from gooseberryyoke_daemon.testing import run_session
 
 FOLDER = Path(__file__).parents[2]
-SEED = 8
+
 STEP_S = 0.01
 
 
@@ -48,18 +51,12 @@
     return found
 
 
-def as_text(steps):
-    return "\n\n".join(
-        "\n".join(
-            [
-                step.asked,
-                f"-> {step.status}",
-                *(f"{name}: {value}" for name, value in step.headers.items()),
-                str(step.body),
-            ]
-        )
-        for step in steps
-    )
+def test_session_across_processes_is_that_in_memory(tmp_path):
+    async def main():
+        async with running(tmp_path) as system:
+            return await run_script(system)
+
+    assert as_text(trio.run(main)) == as_text(run_in_memory()["steps"])
 
 
 def test_session_in_memory_is_exact(snapshot):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -48,6 +48,7 @@
 _SERVER_PORT = 7000
 _OPERATOR_PORT = 8500
 _SETTLED_S = 2.0
+_ENDED_S = 0.01
 ENTRIES = 4
 REPLICAS = 3
 
@@ -219,6 +220,7 @@
         """Stop a process as its command does on SIGTERM."""
         await self.daemons[name].stop()
         self.kill(name)
+        await sleep(_ENDED_S)
 
     async def call(self, method, target, payload=None, entry=1, **headers):
         """
