Find a wrong sign-off key when the settings are checked

Cause: a file with a private key, or with a key of another kind, was found at the first roll only, as a fault of the entry.

Ruled out: loading the keys with cryptography at the start, which takes 8 MB in entries that never check a signature.

The test with a file that isn't there is kept within the new one, with real keys.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/tests/test_settings.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/tests/test_settings.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from gooseberryyoke.bundle.signature import make_key_pair
 from gooseberryyoke_daemon.settings import (
     SignOff,
     internal_keys_text,
@@ -30,6 +31,12 @@
 replica: {id: replica-a}
 limits: {body_bytes: 1048576}
 """
+# An X25519 key: of the same length, for another purpose.
+OTHER_KIND = """\
+-----BEGIN PUBLIC KEY-----
+MCowBQYDK2VuAyEAAAECAwQFBgcICQoLDA0ODxAREhMUFRYXGBkaGxwdHh8=
+-----END PUBLIC KEY-----
+"""
 AGENT = """\
 name: agent-draw-1
 data_centre: riga-1
@@ -131,10 +138,24 @@
     assert "expected" in mistake.message
 
 
-def test_every_missing_sign_off_key_is_named(tmp_path):
-    (tmp_path / "anna.pem").write_text("PEM", encoding="utf-8")
-    keys = {name: tmp_path / f"{name}.pem" for name in ("anna", "janis", "liga")}
-    assert load_sign_off_keys(SignOff({"anna": keys["anna"]})).unwrap() == {
-        "anna": "PEM"
-    }
-    assert len(load_sign_off_keys(SignOff(keys)).failure()) == 2
+def test_every_unusable_sign_off_key_is_named(tmp_path):
+    """
+    The settings name a private key, a key of another kind, and a file that isn't there.
+
+    Found at the first roll only, each would refuse bundles with a fault of the entry;
+    the check of the settings must name all three.
+    """
+    private_pem, public_pem = make_key_pair()
+    texts = {"anna": public_pem, "janis": private_pem, "liga": OTHER_KIND}
+    keys = {name: tmp_path / f"{name}.pem" for name in (*texts, "zane")}
+    for name, text in texts.items():
+        keys[name].write_text(text, encoding="utf-8")
+    right = SignOff({"anna": keys["anna"]})
+    assert load_sign_off_keys(right).unwrap() == {"anna": public_pem}
+    mistakes = load_sign_off_keys(SignOff(keys)).failure()
+    assert [item.path for item in mistakes] == [
+        "sign_off.keys.janis",
+        "sign_off.keys.liga",
+        "",
+    ]
+    assert "zane.pem" in mistakes[2].message
