Let waiting messages to a replica travel together; store a repair once

Cause 1: each message to a replica was an HTTP exchange of its own. Ruled out: more requests in flight (the exchange is processor time, not waiting).

Cause 2: a replica on its way back logged each slot once for each source.

Safeguards taken out one at a time, each made a test fail: failure of calls whose sender was cancelled, no empty request, slot logged only if changed.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from gooseberryyoke.register import UndecodableRecord, decode, encode
+from gooseberryyoke.register import decode, encode
 from gooseberryyoke_daemon.registers.exceptions import PeerFailed
 from gooseberryyoke_daemon.wire import WireError
 
@@ -12,13 +12,33 @@
 
 _OK = 200
 _DEFAULT_TIMEOUT_S = 2.0
-_DEFAULT_CALLS = 64
+_DEFAULT_WAITING = 256
+_IN_FLIGHT = 2
+_BATCH = 64
+
+
+class _Call:
+    """A message that waits for its reply."""
+
+    __slots__ = ("message", "reply", "failure")
+
+    def __init__(self, message):
+        self.message = message
+        self.reply = None
+        self.failure = None
+
+    @property
+    def is_over(self):
+        return self.reply is not None or self.failure is not None
 
 
 class HttpPeer:
     """
     Calls a replica over HTTP.
 
+    Messages that come up while requests are in flight travel together in the
+    next one: an exchange costs far more than a message in it.
+
     Parameters
     ----------
     client : HttpClient
@@ -26,19 +46,27 @@
     address : Address
         Of the replica's process.
     timeout_s : float
-        For one call.
-    max_calls : int
-        Calls in flight at once; more are refused, so that a silent replica does
-        not gather tasks.
+        For one request.
+    max_waiting : int
+        Messages without a reply; more are refused, so that a silent replica
+        does not gather tasks.
     """
 
     def __init__(
-        self, client, address, timeout_s=_DEFAULT_TIMEOUT_S, max_calls=_DEFAULT_CALLS
+        self,
+        client,
+        address,
+        timeout_s=_DEFAULT_TIMEOUT_S,
+        max_waiting=_DEFAULT_WAITING,
     ):
         self.address = address
         self._client = client
         self._timeout_s = timeout_s
-        self._calls = trio.CapacityLimiter(max_calls)
+        self._max_waiting = max_waiting
+        self._waiting = 0
+        self._queue = []
+        self._in_flight = 0
+        self._landed = trio.Event()
 
     async def call(self, message):
         """
@@ -58,27 +86,61 @@
         PeerFailed
             If no usable reply came in time.
         """
+        if self._waiting >= self._max_waiting:
+            raise PeerFailed(f"{self._waiting} messages wait for {self.address}")
+        call = _Call(message)
+        self._queue.append(call)
+        self._waiting += 1
         try:
-            self._calls.acquire_nowait()
-        except trio.WouldBlock as exc:
-            raise PeerFailed(f"{self.address} has too many calls in flight") from exc
+            await self._wait_for(call)
+        finally:
+            self._waiting -= 1
+            if call in self._queue:
+                self._queue.remove(call)
+        if call.failure is not None:
+            raise PeerFailed(call.failure)
+        return call.reply
+
+    async def _wait_for(self, call):
+        while not call.is_over:
+            if self._queue and self._in_flight < _IN_FLIGHT:
+                await self._send_batch()
+            else:
+                await self._landed.wait()
+
+    async def _send_batch(self):
+        batch = self._queue[:_BATCH]
+        del self._queue[:_BATCH]
+        self._in_flight += 1
+        failure = f"a request to {self.address} was cancelled"
         try:
-            return await self._exchange(message)
+            replies = await self._exchange([call.message for call in batch])
+            for call, reply in zip(batch, replies, strict=True):
+                call.reply = reply
+        except (PeerFailed, ValueError) as exc:
+            failure = str(exc)
         finally:
-            self._calls.release()
+            # Whoever sends may be cancelled; the others in the batch must not
+            # wait for a reply that nobody takes.
+            for call in batch:
+                if call.reply is None:
+                    call.failure = failure
+            self._in_flight -= 1
+            self._landed.set()
+            self._landed = trio.Event()
 
-    async def _exchange(self, message):
+    async def _exchange(self, messages):
         try:
             reply = await self._client.json(
                 "POST",
                 self.address,
                 REGISTER_PATH,
-                encode(message),
+                [encode(message) for message in messages],
                 timeout_s=self._timeout_s,
                 repeatable=True,
             )
-            if reply.status != _OK:
-                raise PeerFailed(f"{self.address} replied with {reply.status}")
-            return decode(reply.payload)
-        except (WireError, UndecodableRecord) as exc:
+        except WireError as exc:
             raise PeerFailed(f"{self.address}: {exc}") from exc
+        if reply.status != _OK or not isinstance(reply.payload, list):
+            raise PeerFailed(f"{self.address} replied with {reply.status}")
+        return [decode(item) for item in reply.payload]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -177,11 +177,17 @@
             first = first or page
             if page.sender.incarnation != first.sender.incarnation:
                 raise CopyFailed(f"{page.sender.seat} changed hands")
-            await self._record([self._merged(keyed) for keyed in page.slots])
+            await self._record(self._merged(page.slots))
             if not page.more:
                 return page
             after = page.slots[-1].key
 
-    def _merged(self, keyed):
-        slot = merge_slot(self._state.slots.get(keyed.key), keyed.slot)
-        return SlotStored(keyed.key, slot)
+    def _merged(self, page):
+        """List the changes that a page brings; most slots are alike everywhere."""
+        changes = []
+        for keyed in page:
+            mine = self._state.slots.get(keyed.key)
+            slot = merge_slot(mine, keyed.slot)
+            if slot != mine:
+                changes.append(SlotStored(keyed.key, slot))
+        return changes
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -208,17 +208,23 @@
         PeerFailed
             If this replica has not started, or its disk failed.
         """
+        replies = await self._answer([message])
+        return replies[0]
+
+    async def _answer(self, messages):
         if self.acceptor is None:
             raise PeerFailed(f"replica {self.seat} has not started")
-        answer = self.acceptor.handle(message)
-        self._append(answer.changes)
+        answers = []
+        for message in messages:
+            answers.append(self.acceptor.handle(message))
+            self._append(answers[-1].changes)
         # Also a read waits: it may show a cell of another call that is not synced
         # yet, and that a crash would take back after the reader was told.
         try:
             await self.journal.sync(self.journal.position)
         except DiskFailed as exc:
             raise PeerFailed(f"replica {self.seat}: {exc}") from exc
-        return answer.reply
+        return [answer.reply for answer in answers]
 
     async def handle(self, request):
         """
@@ -239,15 +245,15 @@
         if request.method != "POST":
             return json_response(_METHOD_NOT_ALLOWED, {"reason": "method-not-allowed"})
         try:
-            message = decode(orjson.loads(request.body))
-            reply = await self.call(message)
+            messages = [decode(item) for item in orjson.loads(request.body)]
+            replies = await self._answer(messages)
         except (UndecodableRecord, orjson.JSONDecodeError, TypeError) as exc:
             detail = {"reason": "bad-message", "detail": str(exc)}
             return json_response(_BAD_REQUEST, detail)
         except PeerFailed as exc:
             detail = {"reason": "replica-failed", "detail": str(exc)}
             return json_response(_UNAVAILABLE, detail)
-        return json_response(200, encode(reply))
+        return json_response(200, [encode(reply) for reply in replies])
 
 
 def _first(group):
