Speak TLS on all ports, with certificates reloaded while running

Cause: the settings named certificates that nothing used; processes spoke plain HTTP to each other. Ruled out: asking the internal port's peers for signatures alone (anybody could fill its connections); reloading in place (found by the test: a context takes a new certificate even if the key doesn't fit it, and then fails every handshake; a pair is now tried in a context of its own first). Conclusion: whoever lacks a certificate of the authority gets no answer at the internal port.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/command.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/command.py
@@ -12,8 +12,8 @@
 from gooseberryyoke_daemon.clock import Clock
 from gooseberryyoke_daemon.compose import Daemon, load_credentials
 from gooseberryyoke_daemon.logs import configure_logs, log_event
+from gooseberryyoke_daemon.security import Networks
 from gooseberryyoke_daemon.settings import load_settings
-from gooseberryyoke_daemon.wire import TcpNetwork
 
 __all__ = ["main"]
 
@@ -45,8 +45,8 @@
         return
     settings = loaded.unwrap()
     configure_logs(settings.log_level, process=settings.name)
-    network = TcpNetwork()
-    daemon = Daemon(settings, credentials.unwrap(), network, Clock(), SystemRandom())
+    networks = Networks.over_tcp(credentials.unwrap().tls)
+    daemon = Daemon(settings, credentials.unwrap(), networks, Clock(), SystemRandom())
     run(_run_until_signal, daemon)
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -15,6 +15,8 @@
 from gooseberryyoke_daemon.process import Process
 from gooseberryyoke_daemon.registers import HttpPeer, RegisterClient
 from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.security import TlsReloader, load_tls_contexts
+from gooseberryyoke_daemon.security.reload import TlsFiles
 from gooseberryyoke_daemon.settings import load_internal_keys, load_sign_off_keys
 from gooseberryyoke_daemon.storage import FolderDisk
 from gooseberryyoke_daemon.wire import Address, HttpServer
@@ -32,13 +34,15 @@
         Keys between the system's processes; the first one signs.
     sign_off_keys : dict of str to str
         Public keys in PEM of those who sign bundles off.
+    tls : TlsContexts
     """
 
-    __slots__ = ("internal_keys", "sign_off_keys")
+    __slots__ = ("internal_keys", "sign_off_keys", "tls")
 
-    def __init__(self, internal_keys, sign_off_keys):
+    def __init__(self, internal_keys, sign_off_keys, tls):
         self.internal_keys = internal_keys
         self.sign_off_keys = sign_off_keys
+        self.tls = tls
 
 
 def load_credentials(settings):
@@ -57,15 +61,16 @@
     sign_off = Success({})
     if settings.sign_off is not None:
         sign_off = load_sign_off_keys(settings.sign_off)
+    tls = load_tls_contexts(settings)
     mistakes = [
         mistake
-        for result in (internal, sign_off)
+        for result in (internal, sign_off, tls)
         if isinstance(result, Failure)
         for mistake in result.failure()
     ]
     if mistakes:
         return Failure(mistakes)
-    return Success(Credentials(internal.unwrap(), sign_off.unwrap()))
+    return Success(Credentials(internal.unwrap(), sign_off.unwrap(), tls.unwrap()))
 
 
 class Daemon:
@@ -76,7 +81,7 @@
     ----------
     settings : Settings
     credentials : Credentials
-    network : TcpNetwork or MemoryHost
+    networks : Networks
     clock : Clock
     rng : random.Random
     open_disk : callable, optional
@@ -84,7 +89,7 @@
     """
 
     def __init__(
-        self, settings, credentials, network, clock, rng, open_disk=FolderDisk
+        self, settings, credentials, networks, clock, rng, open_disk=FolderDisk
     ):
         self._settings = settings
         self._credentials = credentials
@@ -94,7 +99,7 @@
             settings.data_centre,
             settings.listen.internal,
             credentials.internal_keys,
-            network,
+            networks,
             clock,
             rng,
             settings.limits,
@@ -116,8 +121,9 @@
             # Before the roles: a replica joins only once its peers reach it.
             guard = Guard(process.verifier, self._routes, process.metrics)
             server = HttpServer(guard, process.limits)
-            listeners = await process.network.listen(process.internal_address)
+            listeners = await process.networks.internal.listen(process.internal_address)
             await nursery.start(server.run, listeners)
+            nursery.start_soon(self._tls_reloader().run)
             replica = await self._start_replica(nursery)
             await self._start_entry(nursery, replica)
             await self._start_agent(nursery)
@@ -129,6 +135,18 @@
             for leave in self._leavers:
                 nursery.start_soon(leave)
 
+    def _tls_reloader(self):
+        tls, settings = self._credentials.tls, self._settings
+        files = []
+        if settings.tls is not None:
+            pair = (settings.tls.certificate, settings.tls.key)
+            files.append(TlsFiles("callers", *pair, [tls.callers]))
+        if settings.internal_tls is not None:
+            pair = (settings.internal_tls.certificate, settings.internal_tls.key)
+            contexts = [tls.internal_server, tls.internal_client]
+            files.append(TlsFiles("internal", *pair, contexts))
+        return TlsReloader(files, self._process.metrics, self._process.clock)
+
     async def _start_replica(self, nursery):
         settings = self._settings
         if "replica" not in settings.roles:
@@ -184,7 +202,7 @@
         routes = OperatorRoutes(bundles, approval, entry.status)
         self._leavers.append(_stopper(routes))
         server = HttpServer(routes, process.limits)
-        listeners = await process.network.listen(settings.listen.operators)
+        listeners = await process.networks.callers.listen(settings.listen.operators)
         await nursery.start(server.run, listeners)
 
     async def _start_agent(self, nursery):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -100,7 +100,7 @@
         roster = Roster(self._servers, self._entries, self._fleet, self._process.clock)
         async with open_nursery() as nursery:
             self._server = HttpServer(self._callers(nursery), self._process.limits)
-            listeners = await self._process.network.listen(self._listen)
+            listeners = await self._process.networks.callers.listen(self._listen)
             nursery.start_soon(self._tend, roster)
             nursery.start_soon(self._announcer.run)
             nursery.start_soon(self._serve_callers, listeners)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -98,5 +98,10 @@
     Definition("bundle_version", "Version of the bundle in force; 0 for none."),
     Definition("bundle_lease_seconds", "What is left of the lease on the bundle."),
     Definition("requests_in_flight", "Requests without a final answer yet."),
+    Definition(
+        "tls_certificate_left_seconds",
+        "Until the certificate of a port expires; below 0 if it has.",
+        ("port",),
+    ),
     Definition("servers", "Backend servers that take requests.", ("service",)),
 )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/process.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/process.py
@@ -17,7 +17,7 @@
         Where the other processes reach this one.
     keys : dict of str to bytes
         Internal keys by id; the first one signs.
-    network : TcpNetwork or MemoryHost
+    networks : Networks
     clock : Clock
     rng : random.Random
     limits : Limits
@@ -39,7 +39,7 @@
         data_centre,
         internal_address,
         keys,
-        network,
+        networks,
         clock,
         rng,
         limits,
@@ -47,13 +47,13 @@
         self.name = name
         self.data_centre = data_centre
         self.internal_address = internal_address
-        self.network = network
+        self.networks = networks
         self.clock = clock
         self.rng = rng
         self.limits = limits
         self.metrics = Metrics()
         key_id = next(iter(keys))
         signer = Signer(key_id, keys[key_id], clock.wall, rng)
-        self.plain_client = HttpClient(network, limits)
-        self.signed_client = HttpClient(network, limits, signer)
+        self.plain_client = HttpClient(networks.servers, limits)
+        self.signed_client = HttpClient(networks.internal, limits, signer)
         self.verifier = Verifier(keys, clock.wall, hosts={str(internal_address)})
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/__init__.py
@@ -5,7 +5,13 @@
     load_internal_keys,
 )
 from gooseberryyoke_daemon.settings.reader import load_settings, parse_settings
-from gooseberryyoke_daemon.settings.record import Listen, Settings, SignOff, Tls
+from gooseberryyoke_daemon.settings.record import (
+    InternalTls,
+    Listen,
+    Settings,
+    SignOff,
+    Tls,
+)
 from gooseberryyoke_daemon.settings.roles import (
     AgentSettings,
     EntrySettings,
@@ -16,6 +22,7 @@
 from gooseberryyoke_daemon.settings.tls import load_tls
 
 __all__ = [
+    "InternalTls",
     "AgentSettings",
     "EntrySettings",
     "Listen",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/reader.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/reader.py
@@ -59,4 +59,8 @@
             certificate=folder / settings.tls.certificate,
             key=folder / settings.tls.key,
         )
+    if settings.internal_tls is not None:
+        internal = settings.internal_tls
+        paths = {name: folder / getattr(internal, name) for name in internal.fields()}
+        changes["internal_tls"] = internal.replace(**paths)
     return settings.replace(**changes)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/record.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/record.py
@@ -2,7 +2,7 @@
 
 from gooseberryyoke.record import Record
 
-__all__ = ["Listen", "Settings", "SignOff", "Tls"]
+__all__ = ["InternalTls", "Listen", "Settings", "SignOff", "Tls"]
 
 
 class Listen(Record):
@@ -42,6 +42,26 @@
         self.key = key
 
 
+class InternalTls(Record):
+    """
+    TLS between the system's own processes.
+
+    Parameters
+    ----------
+    certificate, key : pathlib.Path
+        PEM files; the certificate names the IP number of the instance.
+    authority : pathlib.Path
+        Certificate that has signed those of all processes, in PEM.
+    """
+
+    __slots__ = ("certificate", "key", "authority")
+
+    def __init__(self, certificate, key, authority):
+        self.certificate = certificate
+        self.key = key
+        self.authority = authority
+
+
 class SignOff(Record):
     """
     Who signs bundles off.
@@ -83,6 +103,7 @@
         File with the keys that sign messages between the system's processes.
     sign_off : SignOff or None
     tls : Tls or None
+    internal_tls : InternalTls or None
     limits : Limits
     log_level : str
     entry : EntrySettings or None
@@ -101,6 +122,7 @@
         "internal_keys",
         "sign_off",
         "tls",
+        "internal_tls",
         "limits",
         "log_level",
         "entry",
@@ -120,6 +142,7 @@
         internal_keys,
         sign_off,
         tls,
+        internal_tls,
         limits,
         log_level,
         entry,
@@ -136,6 +159,7 @@
         self.internal_keys = internal_keys
         self.sign_off = sign_off
         self.tls = tls
+        self.internal_tls = internal_tls
         self.limits = limits
         self.log_level = log_level
         self.entry = entry
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/settings/schema.py
@@ -16,7 +16,13 @@
 from gooseberryyoke_daemon.logs import LOG_LEVELS
 from gooseberryyoke_daemon.settings.fields import ListenField, PathField
 from gooseberryyoke_daemon.settings.limits import LIMITS
-from gooseberryyoke_daemon.settings.record import Listen, Settings, SignOff, Tls
+from gooseberryyoke_daemon.settings.record import (
+    InternalTls,
+    Listen,
+    Settings,
+    SignOff,
+    Tls,
+)
 from gooseberryyoke_daemon.settings.roles import (
     AgentSettings,
     EntrySettings,
@@ -56,6 +62,21 @@
     Key("key", PathField(), help="PEM file."),
 )
 
+INTERNAL_TLS = Section(
+    InternalTls,
+    Key(
+        "certificate",
+        PathField(),
+        help="PEM file; the certificate names the IP number of the instance.",
+    ),
+    Key("key", PathField(), help="PEM file of its private key."),
+    Key(
+        "authority",
+        PathField(),
+        help="PEM file of the certificate that has signed those of all processes.",
+    ),
+)
+
 SIGN_OFF = Section(
     SignOff,
     Key(
@@ -216,6 +237,13 @@
         default=None,
         help="Towards callers and operators; plain HTTP if left out.",
     ),
+    Key(
+        "internal_tls",
+        INTERNAL_TLS,
+        default=None,
+        help="Between the system's own processes; the same for all of them. Plain HTTP "
+        "with signed messages if left out.",
+    ),
     Key("limits", LIMITS, default=LIMITS.defaults, help="What is taken from peers."),
     Key("log_level", Choice(*LOG_LEVELS), default="info", help="The least written."),
     Key("entry", ENTRY, default=None, help="Needed by the role `entry` only."),
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -20,6 +20,7 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.clock import Clock
 from gooseberryyoke_daemon.compose import Credentials, Daemon
+from gooseberryyoke_daemon.security import Networks, TlsContexts
 from gooseberryyoke_daemon.settings import (
     AgentSettings,
     EntrySettings,
@@ -271,6 +272,7 @@
             None,
             SignOff({"chief": None}, 1),
             None,
+            None,
             Limits(),
             "info",
             entry,
@@ -281,8 +283,8 @@
     async def _start(self, settings, host):
         daemon = Daemon(
             settings,
-            Credentials(_KEYS, {"chief": self._public_key}),
-            self.network.host(host),
+            Credentials(_KEYS, {"chief": self._public_key}, TlsContexts()),
+            Networks(*[self.network.host(host)] * len(Networks.__slots__)),
             self.clock,
             Random(self.rng.getrandbits(64)),
             lambda name: self.disks.setdefault(name, MemoryDisk()),
