Bound requests to replicas and pages of a repair by size

Cause: a page of a repair could be longer than a reply may be, with bundles of thousands of accounts; the same page was asked for for ever. And several large messages could travel in one request that no server takes. Change: a page that fails is asked for again at half the number of slots; a request takes 1 MiB of messages, or one that is larger. Safeguards taken out one at a time, each made its test fail.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
@@ -1,5 +1,6 @@
 """A replica as its clients see it over HTTP."""
 
+import orjson
 import trio
 
 from gooseberryyoke.register import decode, encode
@@ -15,15 +16,16 @@
 _DEFAULT_WAITING = 256
 _IN_FLIGHT = 2
 _BATCH = 64
+_BATCH_BYTES = 2**20
 
 
 class _Call:
     """A message that waits for its reply."""
 
-    __slots__ = ("message", "reply", "failure")
+    __slots__ = ("packed", "reply", "failure")
 
     def __init__(self, message):
-        self.message = message
+        self.packed = orjson.dumps(encode(message))
         self.reply = None
         self.failure = None
 
@@ -109,12 +111,11 @@
                 await self._landed.wait()
 
     async def _send_batch(self):
-        batch = self._queue[:_BATCH]
-        del self._queue[:_BATCH]
+        batch = self._take_batch()
         self._in_flight += 1
         failure = f"a request to {self.address} was cancelled"
         try:
-            replies = await self._exchange([call.message for call in batch])
+            replies = await self._exchange([call.packed for call in batch])
             for call, reply in zip(batch, replies, strict=True):
                 call.reply = reply
         except (PeerFailed, ValueError) as exc:
@@ -129,13 +130,23 @@
             self._landed.set()
             self._landed = trio.Event()
 
-    async def _exchange(self, messages):
+    def _take_batch(self):
+        """Take what fits into one request; a bundle's text may fill one alone."""
+        batch, size = [], 0
+        while self._queue and len(batch) < _BATCH:
+            size += len(self._queue[0].packed)
+            if batch and size > _BATCH_BYTES:
+                break
+            batch.append(self._queue.pop(0))
+        return batch
+
+    async def _exchange(self, packed):
         try:
             reply = await self._client.json(
                 "POST",
                 self.address,
                 REGISTER_PATH,
-                [encode(message) for message in messages],
+                [orjson.Fragment(item) for item in packed],
                 timeout_s=self._timeout_s,
                 repeatable=True,
             )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -63,6 +63,7 @@
         self._position = position
         self._acceptor = replica.acceptor
         self._state = replica.acceptor.state
+        self._page_slots = _PAGE_SLOTS
 
     async def run(self):
         """
@@ -155,6 +156,8 @@
                 seat=self._replica.seat,
                 detail=str(exc),
             )
+            # A page of large values may be longer than a reply is allowed to be.
+            self._page_slots = max(1, self._page_slots // 2)
             return
         if len(largest_consistent(pages)) < len(pages):
             return
@@ -169,7 +172,7 @@
         after, first = "", None
         while True:
             message = Copy(
-                self._replica.seat, self._state.incarnation, after, _PAGE_SLOTS
+                self._replica.seat, self._state.incarnation, after, self._page_slots
             )
             page = await peer.call(message)
             if not isinstance(page, CopyPage):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
@@ -1,14 +1,15 @@
 import contextlib
+from unittest.mock import patch
 
 import pytest
 import trio
 import trio.testing
 
-from gooseberryyoke.register import Conflict, Unavailable, Versioned
-from gooseberryyoke.register.messages import Read
+from gooseberryyoke.register import Ballot, Cell, Conflict, Unavailable, Versioned
+from gooseberryyoke.register.messages import Accept, CopyPage, Read
 from gooseberryyoke_daemon.registers import HttpPeer, PeerFailed, RegisterClient
 from gooseberryyoke_daemon.registers.peer import _Call
-from gooseberryyoke_daemon.replica.memory import MemoryReplicas
+from gooseberryyoke_daemon.replica.memory import MemoryReplicas, _Link
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
 from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer, Request
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
@@ -264,6 +265,44 @@
     run(main)
 
 
+def test_repair_gets_by_replies_that_are_too_long():
+    """
+    A replica is repaired although a page of bundles is longer than a reply may
+    be. The same page was asked for again and again, and failed each time.
+    """
+
+    async def main(replicas, client):
+        for number in range(20):
+            await client.write(f"k{number}", 0, "a", T)
+        replicas.kill("r1")
+        replicas.lose_disk("r1")
+        call = _Link.call
+
+        async def limited(link, message):
+            reply = await call(link, message)
+            if isinstance(reply, CopyPage) and len(reply.slots) > 3:
+                raise PeerFailed("reply too long")
+            return reply
+
+        with patch.object(_Link, "call", limited):
+            await replicas.start("r1")
+            await replicas.wait_ready("r1")
+        assert len(replicas.running["r1"].acceptor.state.slots) == 20
+
+    run(main)
+
+
+def test_large_messages_travel_alone():
+    peer = HttpPeer(None, Address("10.0.0.1", 80))
+    large = Cell(1, "x" * 2**20, "p", 0)
+    accept = Accept("k", Ballot(1, "p"), large)
+    peer._queue = [_Call(accept), _Call(accept), _Call(Read("a", "a"))]
+    sizes = []
+    while peer._queue:
+        sizes.append(len(peer._take_batch()))
+    assert sizes == [1, 1, 1]
+
+
 def test_exchange_over_http():
     async def body():
         async with trio.open_nursery() as nursery:
