Take retries and drain from the bundle; keep verdicts the system's own

Cause: retries.* and stop.drain_s of a bundle had no effect; a backend server that sent a verdict header of its own made callers see two. Ruled out: a least number of retries a second (minimum_per_s): at low rates it breaks the bound of 1.1 attempts for each request; the key is gone. The default ratio goes from 0.1 to 0.08, with which 100 requests make 111 attempts at most; the test of the digest writes out the new default. Change: budget and attempts from the bundle in force, the drain's limit, headers in the system's name dropped from backend answers.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -12,6 +12,9 @@
 _HOP_HEADERS = frozenset(
     ["connection", "content-length", "keep-alive", "transfer-encoding", "upgrade"]
 )
+# A backend server must not speak in the system's name: with a verdict of its own
+# beside the entry's, a caller would take the first one.
+_OWN_PREFIX = "gooseberryyoke-"
 
 
 class Runner:
@@ -83,7 +86,7 @@
         async with self._client.open(
             self._address, request, timeout_s=self._head_timeout_s
         ) as reply:
-            headers = [pair for pair in reply.headers if pair[0] not in _HOP_HEADERS]
+            headers = [pair for pair in reply.headers if _is_passed_on(pair[0])]
             attempt.log.head(reply.status, headers)
             attempt.notify()
             async for chunk in reply.chunks():
@@ -94,3 +97,7 @@
                     attempt.log.abort(Verdict.RAN, "answer-too-long", detail)
                     return
         attempt.log.end()
+
+
+def _is_passed_on(name):
+    return name not in _HOP_HEADERS and not name.startswith(_OWN_PREFIX)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -1,6 +1,8 @@
 """The entry's parts, wired, and its life from start to stop."""
 
-from trio import TASK_STATUS_IGNORED, Event, open_nursery, sleep
+from math import inf
+
+from trio import TASK_STATUS_IGNORED, Event, move_on_after, open_nursery, sleep
 
 from gooseberryyoke.admission import Admission
 from gooseberryyoke.balance import Fleet
@@ -121,7 +123,12 @@
         self._server.drain()
         await sleep(self._addresses.max_age_s + _ADDRESS_MARGIN_S)
         self._server.stop_accepting()
-        await self._stopped.wait()
+        with move_on_after(self._drain_s()):
+            await self._stopped.wait()
+
+    def _drain_s(self):
+        bundle = self._bundles.current()
+        return inf if bundle is None else bundle.stop.drain_s
 
     def status(self):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -29,6 +29,8 @@
 
     async def __call__(self, exchange, proceed):
         """Run attempts until one is answered or no more may be made."""
+        limits = exchange.bundle.retries
+        self._budget.retries_per_request = limits.ratio
         self._budget.request_started()
         rerouted, before = 0, None
         while True:
@@ -40,7 +42,9 @@
                 # Why the last server failed says more than that none is left.
                 return before
             before = result
-            if exchange.server is None or refusal.reason in _LEFT_TO_OTHERS:
+            if exchange.server is None or exchange.attempts >= limits.attempts:
+                return result
+            if refusal.reason in _LEFT_TO_OTHERS:
                 return result
             decision = self._decide(exchange, refusal, rerouted)
             rerouted += refusal.reason in _REROUTED
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
@@ -257,3 +257,23 @@
         assert service.runs == {"swimmer-1": 1}
 
     run_session(body)
+
+
+def test_backend_server_cannot_speak_in_the_name_of_the_system():
+    """
+    The caller sees one verdict, the entry's, also in a kept answer.
+
+    The service adds a verdict header of its own to its answer. Callers took the
+    first of the two, which said not-run for a call that had run.
+    """
+
+    async def body(session):
+        service = FakeService()
+        service.headers = (("gooseberryyoke-verdict", "not-run"),)
+        await with_service(session, service)
+        for entry in (1, 2):
+            reply = await confirm(session, entry=entry)
+            verdicts = [v for k, v in reply.headers if k == "gooseberryyoke-verdict"]
+            assert verdicts == ["ran"]
+
+    run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -276,3 +276,25 @@
             assert expected in page
 
     run_session(body)
+
+
+def test_all_engines_failing_makes_no_storm():
+    """
+    Callers are refused; the engines get hardly more attempts than requests.
+
+    Every engine answers everything with 503, so that each request could be
+    retried. The budget of the bundle keeps attempts close to requests.
+    """
+
+    async def body(session):
+        engines = [FakeEngine() for _ in range(4)]
+        for engine in engines:
+            engine.broken = True
+        await small_system(session, engines)
+        for number in range(100):
+            reply = await session.draw(f"seed {number}")
+            assert reply.status in (502, 503)
+        attempts = sum(sum(engine.runs.values()) for engine in engines)
+        assert attempts <= 100 * 1.08 + 3
+
+    run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
@@ -96,6 +96,11 @@
         Time of one call, in seconds.
     runs : collections.Counter, optional
         Shared by the servers of one service, as their database is.
+
+    Attributes
+    ----------
+    headers : tuple of (str, str)
+        Added to each answer to a POST.
     """
 
     def __init__(self, call_s=0.02, runs=None):
@@ -103,6 +108,7 @@
         self.runs = Counter() if runs is None else runs
         self.leaving = False
         self.finished = 0
+        self.headers = ()
 
     async def __call__(self, request):
         """Answer ``/load`` and any call."""
@@ -116,5 +122,6 @@
             number = sum(self.runs.values())
             await sleep(self.call_s)
             self.finished += 1
-            return json_response(201, {"id": name, "number": number})
+            answer = {"id": name, "number": number}
+            return json_response(201, answer, self.headers)
         return json_response(200, {"path": request.target})
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/provision.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/provision.py
@@ -52,18 +52,15 @@
     Parameters
     ----------
     ratio : float
-        Retries allowed for each request.
-    minimum_per_s : float
-        Retries a second allowed at any load.
+        Retries earned by each request.
     attempts : int
         Most attempts of one request, the first one included.
     """
 
-    __slots__ = ("ratio", "minimum_per_s", "attempts")
+    __slots__ = ("ratio", "attempts")
 
-    def __init__(self, ratio, minimum_per_s, attempts):
+    def __init__(self, ratio, attempts):
         self.ratio = ratio
-        self.minimum_per_s = minimum_per_s
         self.attempts = attempts
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/provision_schema.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/provision_schema.py
@@ -46,12 +46,11 @@
 
 RETRIES = Section(
     RetryLimits,
-    Key("ratio", Number(0, 1), default=0.1, help="Retries allowed for each request."),
     Key(
-        "minimum_per_s",
-        Number(0, 1000),
-        default=1.0,
-        help="Retries a second allowed at any load.",
+        "ratio",
+        Number(0, 1),
+        default=0.08,
+        help="Retries earned by each request; a few may be saved up.",
     ),
     Key(
         "attempts",
--- a/packages/gooseberryyoke/src/gooseberryyoke/bundle/tests/test_bundle.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/bundle/tests/test_bundle.py
@@ -156,7 +156,7 @@
     again = parse_bundle(safe_dump(content, sort_keys=True)).unwrap()
     assert again == bundle
     assert again.digest == bundle.digest
-    written_out = f"# comment\n{TEXT}\nretries: {{ratio: 0.10}}\n"
+    written_out = f"# comment\n{TEXT}\nretries: {{ratio: 0.080}}\n"
     assert parse_bundle(written_out).unwrap().digest == bundle.digest
     assert "retries" not in content
 
