Read each connection of the server in one task for all its life

Ruled out: no watching of fast handlers, since which ones are fast isn't known when they start.

Change: one reader for the connection, and one scope whose deadline moves from phase to phase. A peer that ended together with its request no longer starts a handler.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reading.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reading.py
@@ -1,7 +1,6 @@
 """Requests read within the limits."""
 
 import h11
-import trio
 
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.wire.exceptions import RequestRefused
@@ -55,11 +54,7 @@
         If the request breaks a limit or the protocol.
     """
     try:
-        with trio.fail_after(limits.slow_sender_s):
-            return await _read(channel, limits)
-    except trio.TooSlowError:
-        detail = f"request not whole within {limits.slow_sender_s:g} s"
-        raise RequestRefused(refusal_of(408, "slow-sender", detail)) from None
+        return await _read(channel, limits)
     except h11.RemoteProtocolError as exc:
         status = exc.error_status_hint
         reason = _REASONS.get(status, "bad-request")
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
@@ -88,16 +88,17 @@
         for scope in self._idle_scopes:
             scope.deadline = min(scope.deadline, self._grace_ends_s)
 
-    def idle_scope(self):
+    def idle_deadline_s(self):
         """
-        Make the scope within which a connection may wait for a request.
+        Tell until when a connection may wait for a request from now on.
 
         Returns
         -------
-        trio.CancelScope
+        float
+            On trio's clock, in seconds.
         """
         deadline_s = trio.current_time() + self.limits.idle_s
-        return trio.CancelScope(deadline=min(deadline_s, self._grace_ends_s))
+        return min(deadline_s, self._grace_ends_s)
 
     def watch_idle(self, scope):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -1,6 +1,7 @@
 """One connection of the server, exchange by exchange."""
 
 from contextlib import suppress
+from math import inf
 
 import h11
 import trio
@@ -11,6 +12,7 @@
 from gooseberryyoke_daemon.wire.exceptions import RequestRefused
 from gooseberryyoke_daemon.wire.message import problem_response
 from gooseberryyoke_daemon.wire.reading import read_request, refusal_of
+from gooseberryyoke_daemon.wire.server_channel import ServerChannel
 
 __all__ = ["ServerConnection", "refuse_connection"]
 
@@ -35,27 +37,46 @@
         Closed by the owner.
     """
 
-    __slots__ = ("_server", "_channel", "_gone")
+    __slots__ = ("_server", "_limits", "_channel", "_scope", "_late", "_gone")
 
     def __init__(self, server, stream):
         self._server = server
-        self._channel = Channel(stream, h11.SERVER, server.limits.head_bytes)
+        self._limits = server.limits
+        self._channel = ServerChannel(stream, server.limits.head_bytes)
+        # One scope for the connection, whose deadline moves from phase to phase:
+        # a scope for each phase of each exchange costs more than the phase.
+        self._scope = trio.CancelScope()
+        self._late = None
         self._gone = False
 
     async def serve(self):
         """Serve until either end closes; failures of the peer end here."""
-        with suppress(*STREAM_ERRORS):
-            try:
-                while await self._serve_exchange():
-                    self._channel.conn.start_next_cycle()
-            except RequestRefused as exc:
-                self._server.counts[f"refused-{exc.refusal.reason}"] += 1
-                await _send_last(self._channel, exc.refusal)
+        refusal = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._channel.pump)
+            with self._scope, suppress(*STREAM_ERRORS):
+                refusal = await self._serve_exchanges()
+            nursery.cancel_scope.cancel()
+        if self._scope.cancelled_caught and not self._gone:
+            refusal = self._late()
+        if refusal is not None:
+            self._server.counts[f"refused-{refusal.reason}"] += 1
+            with suppress(*STREAM_ERRORS):
+                await _send_last(self._channel, refusal)
+
+    async def _serve_exchanges(self):
+        try:
+            while await self._serve_exchange():
+                self._channel.conn.start_next_cycle()
+        except RequestRefused as exc:
+            return exc.refusal
+        return None
 
     async def _serve_exchange(self):
         if not await self._wait_for_request():
             return False
-        req = await read_request(self._channel, self._server.limits)
+        self._set_deadline(self._limits.slow_sender_s, self._slow_sender)
+        req = await read_request(self._channel, self._limits)
         if req is None:
             return False
         self._server.counts["requests"] += 1
@@ -69,45 +90,45 @@
         return done and not self._gone
 
     async def _wait_for_request(self):
-        if self._channel.has_unread():
-            return True
-        scope = self._server.idle_scope()
-        self._server.watch_idle(scope)
+        self._late = _idle_connection
+        self._scope.deadline = self._server.idle_deadline_s()
+        self._server.watch_idle(self._scope)
         try:
-            with scope:
-                return await self._channel.feed()
+            return await self._channel.wait_for_bytes()
         finally:
-            self._server.forget_idle(scope)
-        # A request may cross the closing. Without an answer its sender would have
-        # to count it as perhaps run; nothing is read after this one, so it did not.
-        detail = "connection closed for being idle"
-        raise RequestRefused(refusal_of(408, "idle-connection", detail))
+            self._server.forget_idle(self._scope)
 
     async def _answer(self, req):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_peer, nursery.cancel_scope)
+        self._scope.deadline = inf
+        self._channel.begin_answer(self._peer_gone)
+        if self._channel.is_ended:
+            self._peer_gone()
+            return
+        try:
             await self._respond(req)
-            nursery.cancel_scope.cancel()
+        finally:
+            self._channel.end_answer()
+
+    def _set_deadline(self, seconds, late):
+        self._scope.deadline = trio.current_time() + seconds
+        self._late = late
+
+    def _slow_sender(self):
+        detail = f"request not whole within {self._limits.slow_sender_s:g} s"
+        return refusal_of(408, "slow-sender", detail)
+
+    def _slow_reader(self):
+        self._server.counts["slow-reader"] += 1
 
-    async def _watch_peer(self, scope):
-        """Cancel the handler when the peer closes; keep early bytes, up to a limit."""
-        channel = self._channel
-        channel.early_bytes = 0
-        with suppress(*STREAM_ERRORS):
-            while await channel.feed():
-                if channel.early_bytes > self._server.limits.head_bytes:
-                    return
+    def _peer_gone(self):
         self._gone = True
         self._server.counts["peer-gone"] += 1
-        scope.cancel()
+        self._scope.cancel()
 
     async def _respond(self, req):
         resp = await self._call_handler(req)
         try:
             await self._send(req, resp)
-        except trio.TooSlowError:
-            self._server.counts["slow-reader"] += 1
-            self._gone = True
         except STREAM_ERRORS:
             self._gone = True
         except Exception as exc:
@@ -155,8 +176,15 @@
                 await self._send_events(h11.Data(chunk))
 
     async def _send_events(self, *events):
-        with trio.fail_after(self._server.limits.slow_reader_s):
-            await self._channel.send(*events)
+        self._set_deadline(self._limits.slow_reader_s, self._slow_reader)
+        await self._channel.send(*events)
+        self._scope.deadline = inf
+
+
+def _idle_connection():
+    # A request may cross the closing. Without an answer its sender would have to
+    # count it as perhaps run; nothing is read after this one, so it did not.
+    return refusal_of(408, "idle-connection", "connection closed for being idle")
 
 
 async def _close_body(body):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_pool.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_pool.py
@@ -165,6 +165,6 @@
     async def main():
         server = HttpServer(answer, Limits(idle_s=75, grace_s=2))
         server.stop_accepting()
-        assert server.idle_scope().deadline == trio.current_time() + 2
+        assert server.idle_deadline_s() == trio.current_time() + 2
 
     trio.run(main, clock=trio.testing.MockClock())
