Choose which experts to move: gain against cost within a budget

Popularity drifts; placing from nothing moves thousands of experts an hour and never moving lets one rank hold up all. Ruled out: an integer programme (no solver fits the daemon's memory). Change: load estimate with level and trend, placement from nothing for first maps, a search of swaps and replicas from the map in force, worth by the bundle's weights, a budget of moves, rest for moved experts; messages and orders as JSON.

--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/__init__.py
@@ -1,6 +1,11 @@
 """Expert maps: one map in every step of a group, and how maps change."""
 
 from gooseberryyoke.expert.change import ChangePhase, MapChange
+from gooseberryyoke.expert.codec import (
+    decode_map_message,
+    encode_map_message,
+    map_message_kind,
+)
 from gooseberryyoke.expert.decision import (
     MapRecord,
     ReadRecord,
@@ -8,8 +13,13 @@
     Send,
     WriteRecord,
 )
-from gooseberryyoke.expert.exceptions import ExpertError, InvalidMapError
+from gooseberryyoke.expert.exceptions import (
+    ExpertError,
+    InvalidMapError,
+    MalformedMessageError,
+)
 from gooseberryyoke.expert.expert_map import ExpertMap
+from gooseberryyoke.expert.load import LoadEstimate, LoadFilter
 from gooseberryyoke.expert.message import (
     Abort,
     Commit,
@@ -22,7 +32,14 @@
     Stage,
     StagedMap,
 )
+from gooseberryyoke.expert.placement import place_layer
 from gooseberryyoke.expert.rank import Permit, RankMapState
+from gooseberryyoke.expert.rebalance import (
+    PlacementPolicy,
+    Rebalance,
+    Rebalancer,
+    step_skew,
+)
 
 __all__ = [
     "Abort",
@@ -32,14 +49,20 @@
     "ExpertMap",
     "Hello",
     "InvalidMapError",
+    "LoadEstimate",
+    "LoadFilter",
+    "MalformedMessageError",
     "MapChange",
     "MapRecord",
     "MapSegment",
     "Permit",
+    "PlacementPolicy",
     "Promise",
     "RankMapState",
     "RankReport",
     "ReadRecord",
+    "Rebalance",
+    "Rebalancer",
     "RecordSeen",
     "Restore",
     "Retire",
@@ -47,4 +70,9 @@
     "Stage",
     "StagedMap",
     "WriteRecord",
+    "decode_map_message",
+    "encode_map_message",
+    "map_message_kind",
+    "place_layer",
+    "step_skew",
 ]
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/exceptions.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/exceptions.py
@@ -1,6 +1,6 @@
 """Exceptions of the expert maps."""
 
-__all__ = ["ExpertError", "InvalidMapError"]
+__all__ = ["ExpertError", "InvalidMapError", "MalformedMessageError"]
 
 
 class ExpertError(Exception):
@@ -9,3 +9,7 @@
 
 class InvalidMapError(ExpertError, ValueError):
     """An expert map that no group of ranks can run."""
+
+
+class MalformedMessageError(ExpertError, ValueError):
+    """A message that is not what its kind says."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/order/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/order/__init__.py
@@ -1,5 +1,7 @@
 """Orders to model engines: fenced, idempotent, paced, new before old."""
 
+from gooseberryyoke.order.codec import action_kind, decode_order, encode_order
+from gooseberryyoke.order.exceptions import MalformedOrderError
 from gooseberryyoke.order.gate import OrderGate
 from gooseberryyoke.order.order import (
     ChangeRole,
@@ -27,6 +29,7 @@
     "LoadAdapter",
     "LoadModel",
     "LoadPacer",
+    "MalformedOrderError",
     "Order",
     "OrderGate",
     "OrderOutcome",
@@ -39,5 +42,8 @@
     "VersionState",
     "VersionSwap",
     "WarmModel",
+    "action_kind",
+    "decode_order",
+    "encode_order",
     "order_number",
 ]
