Keep an old holder of a seat from taking it back at a restart

Cause: a replica whose seat had moved to another instance took a new identity when it restarted on its old folder and settings, and replaced the new holder: nothing was lost, but the bundle's holder stopped voting, and with it a third of the redundancy, until somebody looked. Ruled out: telling it from a folder put back from a copy made before the replica's last repair; both look alike, and staying out is safe for both. Change: a folder that has voted and whose seat another identity holds stays out and says so once. The safeguard taken out made its test fail.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/claims/sweeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/claims/sweeper.py
@@ -95,7 +95,7 @@
         try:
             return is_expired(decode_claim(cell.value), self._wall(), retention_s)
         except UnreadableClaim as exc:
-            log_event("claim-unreadable", "error", key=keyed.key, detail=str(exc))
+            log_event("claim-unreadable", level="error", key=keyed.key, detail=str(exc))
             return False
 
     async def _delete(self, keyed):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
@@ -114,7 +114,9 @@
 
     def _lose(self):
         if self._until_s > _NEVER_S:
-            log_event("lease-lost", "warning", name=self._name, number=self._number)
+            log_event(
+                "lease-lost", level="warning", name=self._name, number=self._number
+            )
         self._until_s = _NEVER_S
 
     async def release(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -64,6 +64,7 @@
         self._acceptor = replica.acceptor
         self._state = replica.acceptor.state
         self._page_slots = _PAGE_SLOTS
+        self._is_told = False
 
     async def run(self):
         """
@@ -104,6 +105,8 @@
             self._acceptor.is_admitted = True
         elif admission is Admission.COPY:
             await self._copy_all(judgement.sources)
+        elif admission is Admission.REFUSE:
+            self._tell_taken_over()
         elif admission is Admission.RENEW:
             if self._state.status == READY:
                 raise FolderOutdated(replies)
@@ -142,7 +145,12 @@
             # Another process holds the seat now. Taking it back would make the
             # two replace each other for ever; proposers drop our votes already.
             self._acceptor.is_admitted = False
-            log_event("seat-taken-over", "error", seat=self._replica.seat)
+            self._tell_taken_over()
+
+    def _tell_taken_over(self):
+        if not self._is_told:
+            log_event("seat-taken-over", level="error", seat=self._replica.seat)
+        self._is_told = True
 
     async def _copy_all(self, sources):
         pages = []
@@ -152,7 +160,7 @@
         except (PeerFailed, CopyFailed) as exc:
             log_event(
                 "copy-broken-off",
-                "warning",
+                level="warning",
                 seat=self._replica.seat,
                 detail=str(exc),
             )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -99,7 +99,7 @@
                 self.acceptor = None
                 task_status = trio.TASK_STATUS_IGNORED
                 aside = await self._disk.run(self._disk.set_aside, "outdated")
-                log_event("folder-outdated", "error", seat=self.seat, aside=aside)
+                log_event("folder-outdated", level="error", seat=self.seat, aside=aside)
 
     async def _live(self, replies, task_status):
         recovered = await self._recover()
@@ -131,7 +131,7 @@
             aside = await self._disk.run(self._disk.set_aside, "damaged")
             log_event(
                 "folder-damaged",
-                "error",
+                level="error",
                 seat=self.seat,
                 aside=aside,
                 detail=str(exc),
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
@@ -9,6 +9,7 @@
 from gooseberryyoke.register.messages import Accept, CopyPage, Read
 from gooseberryyoke_daemon.registers import HttpPeer, PeerFailed, RegisterClient
 from gooseberryyoke_daemon.registers.peer import _Call
+from gooseberryyoke_daemon.replica import Replica
 from gooseberryyoke_daemon.replica.memory import MemoryReplicas, _Link
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
 from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer, Request
@@ -238,6 +239,30 @@
     run(main)
 
 
+def test_restart_of_an_old_holder_does_not_take_the_seat_back():
+    """
+    The bundle's holder of a seat goes on voting. The seat moved to another
+    instance, and the old one restarts on its old folder and settings; it used to
+    take a new identity and replace the new holder.
+    """
+
+    async def main(replicas, client):
+        await client.write("k", 0, "a", T)
+        old = replicas.disks["r2"].copy()
+        replicas.kill("r2")
+        replicas.lose_disk("r2")
+        await replicas.start("r2")
+        await replicas.wait_ready("r2")
+        peers = {seat: replicas.peer("old", seat) for seat in ("r1", "r3")}
+        restarted = Replica("r2", old, peers, replicas.rng)
+        with trio.move_on_after(30):
+            await restarted.run()
+        assert not restarted.is_ready
+        assert replicas.running["r2"].is_ready
+
+    run(main)
+
+
 def test_key_collected_everywhere_leaves_no_trace():
     async def main(replicas, client):
         written = (await client.write("k", 0, "a", T)).unwrap()
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
@@ -29,6 +29,7 @@
     FOUND = "found"
     COPY = "copy"
     RENEW = "renew"
+    REFUSE = "refuse"
 
 
 class Judgement(Record):
@@ -38,7 +39,8 @@
     Parameters
     ----------
     admission : Admission
-        ``RENEW`` means that the folder must take a new identity.
+        ``RENEW`` means that the folder must take a new identity, ``REFUSE`` that
+        another holds the seat.
     founders : dict of str to Incarnation
         For ``FOUND``.
     sources : tuple of str
@@ -71,10 +73,12 @@
     Returns
     -------
     Judgement
-        ``SERVE``, ``RENEW`` or ``WAIT``.
+        ``SERVE``, ``RENEW``, ``REFUSE`` or ``WAIT``.
     """
+    # The seat has moved to another instance since: a restart here, with settings
+    # that still name the seat, must not take it back from its new holder.
     if _replaced(state, replies):
-        return Judgement(Admission.RENEW)
+        return Judgement(Admission.REFUSE)
     # A folder put back from an older copy has lost what it acknowledged since:
     # it would vote for a state without it. Its peers remember how far it was.
     if any(reply.seen_position > position for reply in replies):
