Admit at idle services with short calls; roll a second bundle in the demo

The headroom kept free, 0.5 s of slots, is more than all free slots of a service with 15 ms calls come to (14 ms), so that it could never be free. Ruled out: the load reports (running 0, queued 0 throughout); a headroom for each service in the bundle (operators would have to know). Change: the headroom is at most half of a call's own time. The demo rolls version 2 under load and tells after how long it was in force on each live entry. Figures: the new test fails without the change. Conclusion: short calls need a relative headroom.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -26,6 +26,8 @@
 _BURST = 40
 _BURST_S = 0.03
 _STOP_SHARE = 0.35
+_ROLL_SHARE = 0.6
+_IN_FORCE_S = 2.0
 
 
 class Demo:
@@ -61,6 +63,7 @@
         self._outcomes = []
         self._live = []
         self._stop_faults = []
+        self._in_force_s = None
 
     async def run(self):
         """
@@ -81,6 +84,7 @@
             points = [await self._send_all()]
             sent_s = trio.current_time()
             points += [
+                self._check_roll(),
                 await self._check_bundle(),
                 await self._check_addresses(),
                 *check_outcomes(self._outcomes, await deployment.executions()),
@@ -107,6 +111,7 @@
         events = {
             loss: partial(self._lose, lost),
             round(len(self._jobs) * _STOP_SHARE): partial(self._stop, stopping),
+            round(len(self._jobs) * _ROLL_SHARE): self._roll,
         }
         async with trio.open_nursery() as nursery:
             for number, job in enumerate(self._jobs):
@@ -131,6 +136,15 @@
             [entry.name], _STOP_TIMEOUT_S
         )
 
+    async def _roll(self):
+        self._in_force_s = await self._deployment.roll_next(self._live)
+
+    def _check_roll(self):
+        shown = f"version 2 in force on each live entry {self._in_force_s:.2f} s after"
+        late = self._in_force_s > _IN_FORCE_S
+        faults = [f"expected within {_IN_FORCE_S:g} s"] if late else []
+        return Point(f"{shown} its acceptance", faults)
+
     def _check_planned_stop(self, entry):
         cut = [
             f"{outcome.job.name}: {note}"
@@ -148,7 +162,7 @@
             f"{entry['name']}: {entry['state']}, version {entry['version']}"
             for entry in status["entries"]
             if entry["name"] in names
-            and (entry["state"], entry["version"]) != ("serving", 1)
+            and (entry["state"], entry["version"]) != ("serving", 2)
         ]
         missing = names - {entry["name"] for entry in status["entries"]}
         faults += [f"{name} is not known to {status['entry']}" for name in missing]
--- a/examples/demonstration/deployment.py
+++ b/examples/demonstration/deployment.py
@@ -186,6 +186,32 @@
         path = self._folder / f"{name}.yaml"
         self.processes.start(name, [binary("gooseberryyoked"), "--settings", str(path)])
 
+    async def roll_next(self, entries):
+        """
+        Roll the bundle again under the next version.
+
+        Parameters
+        ----------
+        entries : list of Entry
+            Those that must have it.
+
+        Returns
+        -------
+        float
+            Seconds from its acceptance until each of them had it in force.
+        """
+        text = (self._folder / "bundle.yaml").read_text()
+        envelope = await self.sign(text.replace("version: 1\n", "version: 2\n", 1))
+        reply = await self._client.json(
+            "POST", entries[0].operators, "/operator/bundle", envelope, timeout_s=10
+        )
+        if reply.status != _OK:
+            raise RuntimeError(f"the roll of version 2 was refused: {reply.payload}")
+        accepted_s = trio.current_time()
+        for entry in entries:
+            await self._wait_for(entry.operators, _STATUS_PATH, _has_second_version)
+        return trio.current_time() - accepted_s
+
     async def _wait_for_operators(self):
         for entry in self.entries:
             await self._wait_for(entry.operators, _STATUS_PATH, lambda reply: True)
@@ -277,3 +303,8 @@
             server["models"] = [self.profile.model]
         settings["agent"] = {"server": server}
         return settings
+
+
+def _has_second_version(reply):
+    bundle = reply.payload["bundle"]
+    return bundle is not None and bundle["version"] == 2
--- a/packages/gooseberryyoke/src/gooseberryyoke/admission/admission.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/admission.py
@@ -42,7 +42,8 @@
         requests in time, it only makes each of them older.
     headroom_s : float
         What is kept free of accounts far over their share, as time of the
-        empty batch slots, so that others find a slot at once.
+        empty batch slots, so that others find a slot at once; less where calls
+        are short.
     """
 
     __slots__ = (
@@ -192,7 +193,10 @@
         # One threshold for all would let an account that floods the service fill
         # the queue up to it, and the others would wait behind that.
         contended_s = self.contended_wait_s * allowed**2
-        contended_s -= self.headroom_s * (1 - allowed)
+        # Never more than half of a call's own time: all the slots of a service with
+        # short calls, free as they may be, come to less than the headroom, so that
+        # it would refuse accounts while it is idle.
+        contended_s -= min(self.headroom_s, cost_s / 2) * (1 - allowed)
         if predicted.queue_s <= contended_s:
             return None
         detail = (
--- a/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
@@ -166,3 +166,21 @@
         for _ in range(requests):
             admit(admission, account)
     assert list(admission.usage(limit=2)["drafter"]) == ["b", "c"]
+
+
+def test_idle_service_with_short_calls_refuses_nobody_for_its_share():
+    """
+    Confirmations are admitted while the service has nearly all slots free.
+
+    A call takes 15 ms and 16 of them fit at once, so that the time of all free
+    slots is 14 ms. Kept free was half a second, which the service never had: the
+    only account that asked was refused for good.
+    """
+    admission = Admission()
+    idle = Choice("app1", 0.0, 0.015, 0.015, queue_s=-0.014)
+    demand = Demand("meet-app")
+    for account in (*"abcdefghi", *["club"] * 8):
+        admitted = admission.admit(account, 1, "confirm", demand, idle, 5.0, 0.0)
+        assert is_successful(admitted)
+        if account != "club":
+            admission.release(admitted.unwrap(), 0.0)
