Show the last reasons of a fault of the demonstration only

Cause: a request that was refused for 25 s filled a page with the same reason.

Change: the last three reasons, and how many came before.

--- a/examples/demonstration/report.py
+++ b/examples/demonstration/report.py
@@ -8,6 +8,7 @@
 __all__ = ["Point", "check_outcomes", "class_table"]
 
 _FAULTS_SHOWN = 5
+_NOTES_SHOWN = 3
 _HEADINGS = (
     "class",
     "sent",
@@ -151,7 +152,13 @@
 
 def _find(outcomes, is_fault):
     return [
-        f"{o.job.name} ({o.job.account}): {', '.join(note for _, note in o.failures)}"
+        f"{o.job.name} ({o.job.account}): {_last_notes(o)}"
         for o in outcomes
         if is_fault(o)
     ]
+
+
+def _last_notes(outcome):
+    notes = [note for _, note in outcome.failures]
+    earlier = f"{len(notes) - _NOTES_SHOWN} earlier, " * (len(notes) > _NOTES_SHOWN)
+    return earlier + ", ".join(notes[-_NOTES_SHOWN:])
