--- a/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/admission/tests/test_admission.py
@@ -36,6 +36,7 @@
     admission.release(ticket, NOW)
     admission.release(ticket, NOW)
     assert admission.in_flight() == 1
+    assert admission.usage() == {"drafter": {"club": (1.0, 3.0)}}
     admission.release(other, NOW)
     assert admission.in_flight() == 0
 
@@ -151,6 +152,15 @@
     assert is_successful(admit(other, "medium", wait_s=2.0))
 
 
+def test_account_over_its_share_elsewhere_is_over_it_here():
+    admission = Admission(borrow=0.0)
+    for account in ("small", "medium", "medium"):
+        admit(admission, account)
+    usage = {"drafter": {"large": (1.0, 300.0)}}
+    admission.take_usage("e2", usage, NOW)
+    assert not is_successful(admit(admission, "large", wait_s=2.0))
+
+
 def test_word_of_a_silent_entry_is_dropped():
     admission = Admission(borrow=0.0)
     admission.take_usage("e2", {"drafter": {"large": (1.0, 500.0)}}, NOW)
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
@@ -22,8 +22,12 @@
     return LoadReport(sequence, age_s, running, queued, batch_slots=32, step_s=step_s)
 
 
-def pick(fleet, demand=DEMAND, now=NOW, exclude=()):
-    return choose(fleet, demand, now, Random(1), exclude).unwrap().server_id
+def pick(fleet, demand=DEMAND, now=NOW, exclude=(), seed=1):
+    return choose(fleet, demand, now, Random(seed), exclude).unwrap().server_id
+
+
+def picks(fleet):
+    return {pick(fleet, seed=seed) for seed in range(20)}
 
 
 def refused(fleet, demand=DEMAND, exclude=()):
@@ -91,7 +95,7 @@
 def test_cold_server_serves_only_when_no_other_can():
     fleet = make_fleet(2)
     fleet.announced("s1", 1, "a", "drafter", ["writer"], cold=True)
-    assert {pick(fleet, now=NOW + n) for n in range(20)} == {"s0"}
+    assert picks(fleet) == {"s0"}
     assert pick(fleet, exclude=("s0",)) == "s1"
 
 
@@ -118,7 +122,7 @@
 def test_refusal_of_a_leaving_server_counts_before_its_announcement():
     fleet = make_fleet(2)
     fleet.left("s0")
-    assert {pick(fleet, now=NOW + n) for n in range(20)} == {"s1"}
+    assert picks(fleet) == {"s1"}
 
 
 def test_all_reports_stale():
@@ -154,3 +158,42 @@
     assert pick(fleet) == "s1"
     assert pick(fleet, now=NOW + 1) == "s0"
     assert is_successful(choose(fleet, DEMAND, NOW, Random(1), ("s1",)))
+
+
+def test_own_dispatches_spread_between_two_reports():
+    """
+    Many requests come before the next report.
+
+    The report alone would send all of them to the server that looked best.
+    """
+    fleet, rng, demand = make_fleet(4), Random(3), DEMAND.replace(prompt_tokens=0)
+    for attempt in range(28):
+        choice = choose(fleet, demand, NOW, rng).unwrap()
+        fleet.dispatched(choice.server_id, attempt, demand, NOW + 0.01)
+    assert [len(view.in_flight) for view in fleet] == [7, 7, 7, 7]
+
+
+def test_urgent_request_does_not_wait_for_what_it_overtakes():
+    """
+    A server has a long queue of patient requests.
+
+    An urgent one goes first there. Predicted to wait like the rest, it would be
+    refused as too late, though the server could answer it in time.
+    """
+    fleet = make_fleet(1)
+    report = LoadReport(2, 0.0, 32, 40, 32, 0.03, queued_by_priority=[(5, 40)])
+    fleet.reported("s0", report, NOW)
+    urgent = choose(fleet, DEMAND.replace(priority=1), NOW, Random(1)).unwrap()
+    patient = choose(fleet, DEMAND.replace(priority=5), NOW, Random(1)).unwrap()
+    assert urgent.predicted_wait_s < 0.2 < 2 < patient.predicted_wait_s
+    assert urgent.queue_s == patient.queue_s > 2
+
+
+def test_urgent_request_goes_where_it_overtakes_the_queue():
+    fleet = make_fleet(2)
+    overtaken = LoadReport(2, 0.0, 32, 40, 32, 0.03, queued_by_priority=[(5, 40)])
+    urgent = LoadReport(2, 0.0, 32, 20, 32, 0.03, queued_by_priority=[(0, 20)])
+    fleet.reported("s0", overtaken, NOW)
+    fleet.reported("s1", urgent, NOW)
+    assert pick(fleet, DEMAND.replace(priority=1)) == "s0"
+    assert pick(fleet, DEMAND.replace(priority=5)) == "s1"
--- a/tools/bench/policy_engine.py
+++ b/tools/bench/policy_engine.py
@@ -118,6 +118,10 @@
         self.stored, self.evicted = [], []
         return events
 
+    def take_prefix(self, digests):
+        """Take blocks that another engine exported."""
+        self._store(digests)
+
     def _queued_by_priority(self):
         counts = {}
         for priority, attempt_id, _ in self.queue:
--- a/tools/bench/policy_run.py
+++ b/tools/bench/policy_run.py
@@ -7,7 +7,13 @@
 from returns.pipeline import is_successful
 
 from gooseberryyoke.admission import Admission
-from gooseberryyoke.balance import POLICIES, Demand, Fleet, choose
+from gooseberryyoke.balance import (
+    POLICIES,
+    PREFIX_BLOCK_TOKENS,
+    Demand,
+    Fleet,
+    choose,
+)
 from tools.bench.policy_engine import Engine
 from tools.bench.policy_load import arrivals, capacity_rps
 
@@ -26,6 +32,7 @@
 USAGE_LAG_S = (0.05, 0.2)
 NEAR_S, FAR_S = 0.0003, 0.0011
 SETTLE_S = 10.0
+MOVE_AT_LEAST_TOKENS = 256
 SERVICE, MODEL = "engines", "model"
 
 
@@ -45,6 +52,8 @@
         "hedge",
         "stop_reports_at_s",
         "tell_usage",
+        "straggler_from_s",
+        "move_tokens_per_s",
     )
 
     def __init__(
@@ -61,6 +70,8 @@
         hedge=False,
         stop_reports_at_s=float("inf"),
         tell_usage=True,
+        straggler_from_s=0.0,
+        move_tokens_per_s=None,
     ):
         self.load = load
         self.policy = policy
@@ -74,6 +85,8 @@
         self.hedge = hedge
         self.stop_reports_at_s = stop_reports_at_s
         self.tell_usage = tell_usage
+        self.straggler_from_s = straggler_from_s
+        self.move_tokens_per_s = move_tokens_per_s
 
 
 class Outcome:
@@ -128,11 +141,7 @@
         self.attempts = count(1)
         self.rng = Random(f"run/{options.seed}")
         self.engines = {
-            f"s{n:02}": Engine(
-                f"s{n:02}",
-                DATA_CENTRES[n % len(DATA_CENTRES)],
-                STRAGGLER_SLOWNESS if n == ENGINES - 1 else 1.0,
-            )
+            f"s{n:02}": Engine(f"s{n:02}", DATA_CENTRES[n % len(DATA_CENTRES)], 1.0)
             for n in range(ENGINES)
         }
         self.fleets = [Fleet(centre) for centre in ENTRY_DATA_CENTRES]
@@ -162,6 +171,7 @@
         for engine in self.engines.values():
             self.at(self.rng.uniform(0, REPORT_EVERY_S), self._report, engine)
             self.at(self.rng.uniform(0, EVENTS_EVERY_S), self._publish, engine)
+        self.at(options.straggler_from_s, self._slow_down, f"s{ENGINES - 1:02}")
         for entry in range(len(self.fleets)):
             self.at(self.rng.uniform(0, USAGE_EVERY_S), self._tell_usage, entry)
         while self.events:
@@ -169,6 +179,9 @@
             action(*args)
         return self
 
+    def _slow_down(self, server_id):
+        self.engines[server_id].slowness = STRAGGLER_SLOWNESS
+
     def _arrive(self, arrival):
         outcome = Outcome(arrival)
         self.outcomes.append(outcome)
@@ -224,12 +237,25 @@
         fleet.dispatched(
             choice.server_id, job.attempt_id, demand, self.now, choice.cached_tokens
         )
-        self.at(job.delay_s, self._submit, job)
+        self.at(job.delay_s + self._move(job, choice), self._submit, job)
         self.at(demand.deadline_s - self.now, self._give_up, job)
         if self.options.hedge and twins is None:
             wait_s = 2.0 * choice.predicted_first_token_s + 0.2
             self.at(wait_s, self._hedge, job, arrival)
 
+    def _move(self, job, choice):
+        rate = self.options.move_tokens_per_s
+        if rate is None:
+            return 0.0
+        digests = job.demand.prefix_digests
+        held = self.fleets[job.entry].prefixes.matches(digests).values()
+        blocks = max(held, default=0)
+        tokens = blocks * PREFIX_BLOCK_TOKENS - choice.cached_tokens
+        if tokens <= MOVE_AT_LEAST_TOKENS:
+            return 0.0
+        job.engine.take_prefix(digests[:blocks])
+        return tokens / rate
+
     def _hedge(self, job, arrival):
         if job not in job.twins or any(twin.started for twin in job.twins):
             return
