Let no agent promise steps before it has heard its engine

Cause: an agent that restarted could promise a step that its earlier life had already permitted on the old map; the switch then mixed two maps in that step. Found by reading: the fake engine spoke at the moment of the restart, so neither walks nor search could see it. Ruled out: trusting the other ranks' permits plus the margin (the windows of ranks differ by more than the margin). Figures: the new scenario ends in a mixed step without the safeguard.

--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/message.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/message.py
@@ -206,7 +206,7 @@
         First step that the rank was not permitted.
     refused : str, optional
         Why the message was refused: ``fence``, ``incarnation``, ``unknown``,
-        ``number``, ``unretired``, ``loading``, ``late``.
+        ``number``, ``unretired``, ``loading``, ``unobserved``, ``late``.
     """
 
     __slots__ = (
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/rank.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/rank.py
@@ -62,6 +62,8 @@
         First step that the rank was not permitted.
     loaded : frozenset of str
         Digests of the maps whose weights the engine holds.
+    observed : bool
+        Whether the engine has been heard in this life.
 
     Notes
     -----
@@ -81,6 +83,7 @@
         "next_step",
         "until_step",
         "loaded",
+        "observed",
     )
 
     def __init__(
@@ -95,6 +98,7 @@
         next_step=0,
         until_step=0,
         loaded=frozenset(),
+        observed=False,
     ):
         self.rank = rank
         self.incarnation = incarnation
@@ -106,6 +110,7 @@
         self.next_step = next_step
         self.until_step = until_step
         self.loaded = frozenset(loaded)
+        self.observed = observed
 
     def receive(self, message):
         """
@@ -188,6 +193,7 @@
             next_step=max(self.next_step, next_step),
             until_step=max(self.until_step, until_step),
             loaded=frozenset(loaded),
+            observed=True,
         )
 
     def permit(self, window_steps):
@@ -270,6 +276,10 @@
         return "number"
     if staged.digest not in state.loaded:
         return "loading"
+    # An earlier life may have permitted steps that this one knows nothing of
+    # until the engine tells; a promise before that could be for one of them.
+    if not state.observed:
+        return "unobserved"
     # A step that is already permitted runs on the old map. Promising it away
     # afterwards would be a lie, and the driver must name a later step.
     held_step = staged.hold_step or 0
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/careless.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/careless.py
@@ -71,6 +71,16 @@
         return super()._segments(start, end)
 
 
+class DeafAgent(RankMapState):
+    """Promises before it has heard its engine."""
+
+    __slots__ = ()
+
+    def receive(self, message):
+        state, report = RankMapState.receive(self.replace(observed=True), message)
+        return state.replace(observed=self.observed), report
+
+
 class NoClaimDriver(MapChange):
     """Leaves the register as it is until its decision."""
 
@@ -132,6 +142,7 @@
     "agent takes messages to an earlier life": {"agent_class": NoLifeAgent},
     "agent breaks its promise": {"agent_class": NoHoldAgent},
     "agent promises permitted steps": {"agent_class": LateAgent},
+    "agent promises unheard": {"agent_class": DeafAgent},
     "agent guesses its map": {"agent_class": ForgettingAgent},
     "driver claims nothing": {"driver_class": NoClaimDriver},
     "driver aborts in doubt": {"driver_class": HastyAbortDriver},
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_expert_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_expert_placement.py
@@ -135,3 +135,9 @@
         != proposal.expert_map.layers[layer][expert]
         for layer, expert in moved
     )
+
+
+def test_layers_with_little_skew_are_left_alone():
+    policy = PlacementPolicy(start_skew=5.0)
+    proposal = Rebalancer(policy, 0.0).propose(even_map(), skewed_loads(2), HOUR_S)
+    assert proposal is None
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_map_change_failures.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_map_change_failures.py
@@ -174,6 +174,21 @@
     assert world.engines[0].loaded == {"first"}
 
 
+def engine_not_heard_yet(**parts):
+    """
+    A restarted agent promises away what its engine is about to run.
+
+    The earlier life has permitted four steps; rank 1 has none yet. The new life
+    is restored, has the new map loaded, and is asked for a promise before its
+    engine has said up to where it may run.
+    """
+    world = RankGroup(["second"], window_steps=4, last_step=40, restarts=1, **parts)
+    world = world.act(("sync", 0)).act(("restart", 0))
+    for _ in range(12):
+        world = world.act(("load", 0)).act(("load", 1)).exchange(0)
+    assert_healthy(world.run(4).finish(0).run(4))
+
+
 def agent_without_memory(**parts):
     """
     A pause after an agent's restart, until the driver has told it the map.
@@ -200,6 +215,7 @@
         (message_to_an_earlier_life, {"agent_class": careless.NoLifeAgent}),
         (report_of_an_ended_life, {"driver_class": careless.OldLifeDriver}),
         (thawed_driver_stages, {"agent_class": careless.NoFenceAgent}),
+        (engine_not_heard_yet, {"agent_class": careless.DeafAgent}),
         (agent_without_memory, {"agent_class": careless.ForgettingAgent}),
     ],
 )
