Count shares over all entries; get over silent connections to replicas

Cause: what accounts use at other entries, prompt tokens awaited and queues by priority were not passed on to the policies; and when both connections from an entry to the other replicas lost every byte for good, a confirmation was refused (503, not-run), since one call waited as long as the whole operation. Ruled out: a shorter time for the operation (a slow disk would refuse claims). Change: entries tell each other what accounts use; first pieces end the wait for prompt tokens; a call to a replica is given up after 0.5 s, and a timeout gives up all kept connections to the same address. Conclusion: silent connections to replicas cost callers half a second, once.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -23,6 +23,10 @@
 
 __all__ = ["Credentials", "Daemon", "load_credentials"]
 
+# Well below the time for an operation on a register, so that a connection that
+# has gone silent is given up and the call made again within it.
+_REPLICA_TIMEOUT_S = 0.5
+
 
 class Credentials(Record):
     """
@@ -222,7 +226,9 @@
     def _peers(self, replicas):
         return {
             replica.id: HttpPeer(
-                self._process.signed_client, Address.parse(str(replica.address))
+                self._process.signed_client,
+                Address.parse(str(replica.address)),
+                _REPLICA_TIMEOUT_S,
             )
             for replica in replicas
         }
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/choose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/choose.py
@@ -65,6 +65,7 @@
             if isinstance(chosen, Failure):
                 return Failure(chosen.failure().replace(verdict=exchange.verdict))
             choice = chosen.unwrap()
+        exchange.cached_tokens = choice.cached_tokens
         exchange.server = self._servers.get(choice.server_id)
         exchange.tried.add(choice.server_id)
         exchange.attempts += 1
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -76,6 +76,7 @@
         "_body",
         "_new_sum",
         "_on_close",
+        "_on_first",
         "_ready",
         "_receive",
         "_response",
@@ -88,6 +89,7 @@
 
     def __init__(self, on_close=lambda: None):
         self._on_close = on_close
+        self._on_first = None
         self.first_data_s = None
         self.last_data_s = None
         self.pieces = 0
@@ -113,7 +115,7 @@
         """Length of an answer that is passed on whole, in bytes."""
         return len(self._body)
 
-    def begin_attempt(self, streaming):
+    def begin_attempt(self, streaming, on_first=lambda now: None):
         """
         Take the answer of a new attempt, from its beginning.
 
@@ -121,8 +123,11 @@
         ----------
         streaming : bool
             Whether to pass pieces on before the answer is whole.
+        on_first : callable
+            Takes the time of the attempt's first piece.
         """
         self.streaming = streaming
+        self._on_first = on_first
         self._body = bytearray()
         self._skip_bytes = self._sent_bytes
         self._new_sum = xxh3_128()
@@ -152,6 +157,9 @@
         """
         if not data:
             return
+        if self._on_first is not None:
+            self._on_first(now)
+            self._on_first = None
         if self.first_data_s is None:
             self.first_data_s = now
         self.last_data_s = now
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -1,5 +1,7 @@
 """Filter: carries the attempt to the agent and its answer to the delivery."""
 
+from functools import partial
+
 from returns.result import Failure, Success
 from trio import Cancelled
 
@@ -49,7 +51,9 @@
         now = self._clock.now()
         if exchange.dispatched_s is None:
             exchange.dispatched_s = now
-        self._fleet.dispatched(server, number, exchange.demand, now)
+        self._fleet.dispatched(
+            server, number, exchange.demand, now, exchange.cached_tokens
+        )
         self._in_flight.add(server, number)
         log_event("dispatch", request=exchange.number, attempt=number, server=server)
         try:
@@ -75,7 +79,10 @@
         return Success(answer)
 
     async def _run(self, exchange):
-        exchange.delivery.begin_attempt(exchange.wants_stream)
+        started = partial(
+            self._fleet.first_token, exchange.server.name, exchange.order.attempt
+        )
+        exchange.delivery.begin_attempt(exchange.wants_stream, started)
         try:
             return await self._link.run(
                 exchange.server, exchange.order, exchange.delivery, exchange.deadline_s
@@ -90,7 +97,6 @@
         server, number = exchange.server.name, exchange.order.attempt
         now = self._clock.now()
         if isinstance(result, Success):
-            self._fleet.first_token(server, number, now)
             self._fleet.finished(server, number, now)
             return
         reason = result.failure().reason
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
@@ -40,6 +40,8 @@
     demand : Demand
     choice : Choice or None
         Server predicted to answer, if chosen and not yet used.
+    cached_tokens : int
+        Prompt tokens that the chosen server is believed to have in its cache.
     server : ServerAnnouncement
         Server of the present attempt.
     order : AttemptOrder
@@ -60,6 +62,7 @@
         "attempts",
         "body",
         "bundle",
+        "cached_tokens",
         "choice",
         "claim_version",
         "deadline_s",
@@ -93,6 +96,7 @@
         self.deadline_s = float("inf")
         self.demand = None
         self.choice = None
+        self.cached_tokens = 0
         self.server = None
         self.order = None
         self.dispatched_s = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -71,6 +71,7 @@
         self._servers = Directory(settings.entry.silence_s, _MEMORY_S)
         self._entries = Directory(settings.entry.silence_s, _MEMORY_S)
         self._fleet = Fleet(process.data_centre)
+        self._admission = Admission()
         self._in_flight = InFlight()
         self._addresses = AddressBook(
             process.name,
@@ -99,7 +100,13 @@
         task_status : trio.TaskStatus
             Told the routes for the internal port.
         """
-        roster = Roster(self._servers, self._entries, self._fleet, self._process.clock)
+        roster = Roster(
+            self._servers,
+            self._entries,
+            self._fleet,
+            self._admission,
+            self._process.clock,
+        )
         async with open_nursery() as nursery:
             self._server = HttpServer(self._callers(nursery), self._process.limits)
             listeners = await self._process.networks.callers.listen(self._listen)
@@ -189,7 +196,7 @@
                 nursery,
                 clock,
             ),
-            Admit(Admission(), self._fleet, clock, rng),
+            Admit(self._admission, self._fleet, clock, rng),
             Retry(RetryBudget(), clock),
             Choose(process.name, self._fleet, self._servers, clock, rng),
             Reserve(self._claims),
@@ -206,6 +213,7 @@
             self._url,
             self._addresses.leaving,
             0 if bundle is None else bundle.version,
+            self._admission.usage(),
         )
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
@@ -16,18 +16,22 @@
     ----------
     servers, entries : Directory
     fleet : Fleet
+    admission : Admission
     clock : Clock
     """
 
-    def __init__(self, servers, entries, fleet, clock):
+    def __init__(self, servers, entries, fleet, admission, clock):
         self._servers = servers
         self._entries = entries
         self._fleet = fleet
+        self._admission = admission
         self._clock = clock
 
     def entry_announced(self, announcement):
         """Take an `EntryAnnouncement`."""
-        self._entries.apply(announcement, self._clock.now())
+        now = self._clock.now()
+        if self._entries.apply(announcement, now):
+            self._admission.take_usage(announcement.name, announcement.usage, now)
 
     def server_announced(self, announcement):
         """Take a `ServerAnnouncement`."""
@@ -89,4 +93,5 @@
         float(report.get("step_ms", 0.0)) / 1000,
         float(report.get("prefill_tokens_per_s", _PREFILL_TOKENS_PER_S)),
         int(report.get("waiting_tokens", 0)),
+        report.get("queued_by_priority", ()),
     )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
@@ -277,3 +277,53 @@
             assert verdicts == ["ran"]
 
     run_session(body)
+
+
+def test_silent_connections_to_the_replicas():
+    """
+    The caller's confirmation is answered within its patience.
+
+    The open connections from its entry to both other replicas lose every byte
+    for good, while new ones work. Without an answer a call gives its connection
+    up, and the next one opens another.
+    """
+
+    async def body(session):
+        service = FakeService()
+        await with_service(session, service)
+        await confirm(session, name="before", key="before")
+        for host in OTHERS[1:3]:
+            session.network.silence(OTHERS[0], host)
+        reply = await confirm(session)
+        assert (reply.status, reply.verdict) == (201, "ran")
+        assert service.runs == {"before": 1, "swimmer-1": 1}
+
+    run_session(body)
+
+
+def test_one_way_cut_of_the_own_replica():
+    """
+    Callers of the cut entry are refused or answered, and nothing runs twice.
+
+    What the entry sends to the other replicas is lost, what they send arrives.
+    Its lease runs out; the others go on. Healed, it answers again.
+    """
+
+    async def body(session):
+        service = FakeService()
+        await with_service(session, service)
+        for host in OTHERS[1:]:
+            session.network.cut(OTHERS[0], host, one_way=True)
+        await sleep(3.0)
+        refused = await confirm(session, entry=1)
+        assert (refused.status, refused.verdict) == (503, "not-run")
+        reply = await confirm(session, entry=2)
+        assert (reply.status, reply.verdict) == (201, "ran")
+        for host in OTHERS[1:]:
+            session.network.heal(OTHERS[0], host)
+        await sleep(3.0)
+        again = await confirm(session, entry=1)
+        assert again.body == reply.body
+        assert service.runs == {"swimmer-1": 1}
+
+    run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -113,6 +113,7 @@
             with trio.move_on_after(_or_forever(timeout_s)) as scope:
                 reply = await attempt.run(fresh)
             if scope.cancelled_caught:
+                await self._pool.forget(address)
                 raise attempt.timed_out(timeout_s)
             channel = attempt.channel
             yield reply
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/pool.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/pool.py
@@ -69,6 +69,20 @@
         channel.idle_since_s = trio.current_time()
         idle.append(channel)
 
+    async def forget(self, address):
+        """
+        Close the kept connections to an address.
+
+        Parameters
+        ----------
+        address : Address
+            Of a server that didn't answer in time. What has lost one connection's
+            state has often lost that of all to the same server; tried one after
+            another, each of them would cost a timeout.
+        """
+        for channel in self._idle.pop(address, []):
+            await trio.aclose_forcefully(channel.stream)
+
     async def aclose(self):
         """Close all kept connections."""
         for idle in self._idle.values():
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
@@ -166,6 +166,9 @@
         Whether callers should choose another entry.
     bundle_version : int
         Version in force at this entry; 0 if it admits nothing.
+    usage : dict
+        What accounts use there, as `gooseberryyoke.admission.Admission.usage`
+        tells, so that a share counts over all entries.
     """
 
     __slots__ = (
@@ -176,6 +179,7 @@
         "url",
         "leaving",
         "bundle_version",
+        "usage",
     )
     KINDS = {
         "name": str,
@@ -185,10 +189,19 @@
         "url": str,
         "leaving": bool,
         "bundle_version": int,
+        "usage": dict,
     }
 
     def __init__(
-        self, name, incarnation, sequence, data_centre, url, leaving, bundle_version
+        self,
+        name,
+        incarnation,
+        sequence,
+        data_centre,
+        url,
+        leaving,
+        bundle_version,
+        usage,
     ):
         self.name = name
         self.incarnation = incarnation
@@ -197,3 +210,4 @@
         self.url = url
         self.leaving = leaving
         self.bundle_version = bundle_version
+        self.usage = usage
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_membership.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_membership.py
@@ -12,7 +12,7 @@
 
 def entry(incarnation=1, sequence=1, leaving=False, name="e1"):
     return EntryAnnouncement(
-        name, incarnation, sequence, "dc1", "http://127.0.0.1:1", leaving, 3
+        name, incarnation, sequence, "dc1", "http://127.0.0.1:1", leaving, 3, {}
     )
 
 
