--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := gooseberryyoke gooseberryyoke-daemon gooseberryyoke-client
 MANIFESTS := constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
 
-.PHONY: demo test lint format bench proof clean
+.PHONY: demo test lint format bench bench-capacity proof clean
 
 $(VENV)/installed: $(MANIFESTS)
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,11 @@
 bench: $(VENV)/installed
 	$(BIN)/python -m tools.bench.memory
 
+bench-capacity: $(VENV)/installed
+	$(BIN)/python -m tools.bench.capacity_state
+	$(BIN)/python -m tools.bench.capacity_processes
+	$(BIN)/python -m tools.bench.capacity_requests
+
 lint: $(VENV)/installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
