--- a/tools/bench/policy.py
+++ b/tools/bench/policy.py
@@ -7,10 +7,11 @@
 from statistics import mean
 
 from gooseberryyoke.balance import POLICIES
+from tools.bench.policy_case import Options
 from tools.bench.policy_cost import SIZES, cost_us
 from tools.bench.policy_failures import attempts_while_all_fail
+from tools.bench.policy_figures import run
 from tools.bench.policy_load import AUSTRAL, CELINS
-from tools.bench.policy_run import Options, run
 
 __all__ = ["main"]
 
@@ -42,49 +43,70 @@
     dict
         Options without load and seed, by section and label.
     """
-    found = {}
-    for part in (0.7, 0.9, 1.2):
-        for policy in sorted(POLICIES):
-            found["policies", f"{part:.0%}, {policy}"] = {
-                "policy": policy,
-                "part": part,
-            }
-    for part in (1.0, 1.5, 2.0, 3.0):
-        for admission in (True, False):
-            label = f"{part:.0%}, {'admission' if admission else 'no admission'}"
-            found["past saturation", label] = {"part": part, "admission": admission}
+    sections = {
+        "policies": _policies(),
+        "past saturation": _past_saturation(),
+        "largest account x10 at 70%": _flood(),
+        "hedging": _hedging(),
+        "faults at 70%": _faults(),
+        "cache moved at 90%": _cache_moved(),
+    }
+    return {
+        (section, label): case
+        for section, found in sections.items()
+        for label, case in found.items()
+    }
+
+
+def _policies():
+    return {
+        f"{part:.0%}, {policy}": {"policy": policy, "part": part}
+        for part in (0.7, 0.9, 1.2)
+        for policy in sorted(POLICIES)
+    }
+
+
+def _past_saturation():
+    return {
+        f"{part:.0%}, {label}": {"part": part, "admission": label == "admission"}
+        for part in (1.0, 1.5, 2.0, 3.0)
+        for label in ("admission", "no admission")
+    }
+
+
+def _flood():
     flood = {"part": 0.7, "flood": 10.0}
-    found["largest account x10 at 70%", "as usual"] = {"part": 0.7}
-    found["largest account x10 at 70%", "x10"] = flood
-    found["largest account x10 at 70%", "x10, no shares"] = {**flood, "shares": False}
-    found["largest account x10 at 70%", "x10 by one entry"] = {
-        **flood,
-        "flood_entry": 0,
+    one_entry = {**flood, "flood_entry": 0}
+    return {
+        "as usual": {"part": 0.7},
+        "x10": flood,
+        "x10, no shares": {**flood, "shares": False},
+        "x10 by one entry": one_entry,
+        "x10 by one entry, no usage told": {**one_entry, "tell_usage": False},
     }
-    found["largest account x10 at 70%", "x10 by one entry, no usage told"] = {
-        **flood,
-        "flood_entry": 0,
-        "tell_usage": False,
+
+
+def _hedging():
+    return {f"{part:.0%}, hedged": {"part": part, "hedge": True} for part in (0.7, 0.9)}
+
+
+def _faults():
+    faults = {
+        "no reports from 30 s": {"stop_reports_at_s": 30.0},
+        "straggler from 45 s": {"straggler_from_s": 45.0},
+    }
+    return {
+        f"{label}, {policy}": {"part": 0.7, "policy": policy, **fault}
+        for policy in (CHOSEN, BASELINE, "least-outstanding")
+        for label, fault in faults.items()
+    }
+
+
+def _cache_moved():
+    return {
+        f"{rate} tokens/s": {"part": 0.9, "move_tokens_per_s": rate}
+        for rate in (7_500, 75_000)
     }
-    for part in (0.7, 0.9):
-        found["hedging", f"{part:.0%}, hedged"] = {"part": part, "hedge": True}
-    for policy in (CHOSEN, BASELINE, "least-outstanding"):
-        found["faults at 70%", f"no reports from 30 s, {policy}"] = {
-            "part": 0.7,
-            "policy": policy,
-            "stop_reports_at_s": 30.0,
-        }
-        found["faults at 70%", f"straggler from 45 s, {policy}"] = {
-            "part": 0.7,
-            "policy": policy,
-            "straggler_from_s": 45.0,
-        }
-    for rate in (7_500, 75_000):
-        found["cache moved at 90%", f"{rate} tokens/s"] = {
-            "part": 0.9,
-            "move_tokens_per_s": rate,
-        }
-    return found
 
 
 def main():
--- a/tools/bench/policy_run.py
+++ b/tools/bench/policy_run.py
@@ -14,10 +14,11 @@
     Fleet,
     choose,
 )
+from tools.bench.policy_case import Job, Outcome
 from tools.bench.policy_engine import Engine
 from tools.bench.policy_load import arrivals, capacity_rps
 
-__all__ = ["ENGINES", "STRAGGLER_SLOWNESS", "Options", "Outcome", "run"]
+__all__ = ["ENGINES", "SETTLE_S", "STRAGGLER_SLOWNESS", "Run"]
 
 ENGINES = 16
 DATA_CENTRES = ("a", "b", "c")
@@ -36,103 +37,15 @@
 SERVICE, MODEL = "engines", "model"
 
 
-class Options:
-    """What one run is to be: load, policy and what is switched on."""
-
-    __slots__ = (
-        "load",
-        "policy",
-        "part",
-        "seed",
-        "duration_s",
-        "admission",
-        "shares",
-        "flood",
-        "flood_entry",
-        "hedge",
-        "stop_reports_at_s",
-        "tell_usage",
-        "straggler_from_s",
-        "move_tokens_per_s",
-    )
-
-    def __init__(
-        self,
-        load,
-        policy,
-        part,
-        seed,
-        duration_s=90.0,
-        admission=True,
-        shares=True,
-        flood=1.0,
-        flood_entry=None,
-        hedge=False,
-        stop_reports_at_s=float("inf"),
-        tell_usage=True,
-        straggler_from_s=0.0,
-        move_tokens_per_s=None,
-    ):
-        self.load = load
-        self.policy = policy
-        self.part = part
-        self.seed = seed
-        self.duration_s = duration_s
-        self.admission = admission
-        self.shares = shares
-        self.flood = flood
-        self.flood_entry = flood_entry
-        self.hedge = hedge
-        self.stop_reports_at_s = stop_reports_at_s
-        self.tell_usage = tell_usage
-        self.straggler_from_s = straggler_from_s
-        self.move_tokens_per_s = move_tokens_per_s
-
-
-class Outcome:
-    """What became of one request."""
-
-    __slots__ = (
-        "account",
-        "kind",
-        "at_s",
-        "refused",
-        "first_token_s",
-        "in_time",
-        "tokens",
-        "attempts",
-        "predicted_s",
-    )
-
-    def __init__(self, arrival):
-        self.account = arrival.account
-        self.kind = arrival.kind.name
-        self.at_s = arrival.at_s
-        self.refused = None
-        self.first_token_s = None
-        self.in_time = False
-        self.tokens = arrival.answer_tokens
-        self.attempts = 0
-        self.predicted_s = None
-
-
-class _Job:
-    __slots__ = (
-        "attempt_id",
-        "entry",
-        "engine",
-        "demand",
-        "answer_tokens",
-        "ticket",
-        "outcome",
-        "cached_tokens",
-        "twins",
-        "delay_s",
-        "started",
-    )
+class Run:
+    """
+    Several entries, each deciding on its own, and the engines behind them.
 
+    Parameters
+    ----------
+    options : Options
+    """
 
-class _Run:
     def __init__(self, options):
         self.options = options
         self.now = 0.0
@@ -156,9 +69,11 @@
         self.policy = POLICIES[options.policy]
 
     def at(self, delay_s, action, *args):
+        """Do something later in the run."""
         heappush(self.events, (self.now + delay_s, next(self.order), action, args))
 
     def play(self):
+        """Play the load to its end and return the run itself."""
         options = self.options
         rate_rps = options.part * capacity_rps(
             options.load, ENGINES, STRAGGLER_SLOWNESS
@@ -222,7 +137,7 @@
         return choose(fleet, demand, self.now, self.rng, exclude, self.policy).unwrap()
 
     def _dispatch(self, entry, choice, demand, arrival, ticket, outcome, twins=None):
-        job = _Job()
+        job = Job()
         job.attempt_id = next(self.attempts)
         job.entry, job.engine = entry, self.engines[choice.server_id]
         job.demand, job.answer_tokens = demand, arrival.answer_tokens
@@ -362,56 +277,3 @@
     def _published(self, fleet, engine, stored, evicted):
         fleet.prefixes.stored(engine.server_id, stored)
         fleet.prefixes.evicted(engine.server_id, evicted)
-
-
-def run(options):
-    """
-    Play one load to its end.
-
-    Parameters
-    ----------
-    options : Options
-
-    Returns
-    -------
-    dict
-        Figures of the run, by name.
-    """
-    played = _Run(options).play()
-    counted = [o for o in played.outcomes if o.at_s >= SETTLE_S]
-    spell_s = options.duration_s - SETTLE_S
-    first = sorted(o.first_token_s for o in counted if o.first_token_s is not None)
-    others = [o for o in counted if o.account != "account-0"]
-    engines = played.engines.values()
-    reasons = {}
-    for outcome in counted:
-        if outcome.refused:
-            whose = "largest" if outcome.account == "account-0" else "others"
-            key = f"{outcome.refused} ({whose})"
-            reasons[key] = reasons.get(key, 0) + 1
-    kinds = sorted({o.kind for o in counted})
-    return {
-        "requests": len(counted),
-        "in_time": _share(o.in_time for o in counted),
-        "in_time_others": _share(o.in_time for o in others),
-        "in_time_by_class": {
-            kind: _share(o.in_time for o in counted if o.kind == kind) for kind in kinds
-        },
-        "goodput_tokens_s": sum(o.tokens for o in counted if o.in_time) / spell_s,
-        "first_token_s": {f"p{p}": _quantile(first, p / 100) for p in (50, 95, 99)},
-        "hit_share": sum(e.hit_tokens for e in engines)
-        / max(1, sum(e.prompt_tokens for e in engines)),
-        "late_share": _share(not o.in_time and o.refused is None for o in counted),
-        "refused": reasons,
-        "attempts_per_request": sum(o.attempts for o in counted)
-        / max(1, sum(o.refused is None for o in counted)),
-    }
-
-
-def _share(flags):
-    flags = list(flags)
-    return sum(flags) / len(flags) if flags else 0.0
-
-
-def _quantile(values, part):
-    return values[min(len(values) - 1, int(part * len(values)))] if values else None
--- a/tools/bench/tests/test_policy_bench.py
+++ b/tools/bench/tests/test_policy_bench.py
@@ -1,8 +1,9 @@
 import pytest
 
+from tools.bench.policy_case import Options
 from tools.bench.policy_failures import attempts_while_all_fail
+from tools.bench.policy_figures import run
 from tools.bench.policy_load import AUSTRAL, CELINS
-from tools.bench.policy_run import Options, run
 
 
 def play(load, policy="least-cost", part=0.9, **options):
