Permit from the step that the engine says, not from the last answer

Cause: a permit held only steps new since the last answer. Were that answer lost with a switch in it, the engine would run the steps in between on the old map, beside ranks on the new one. Found by reading; no fake lost a permit. Ruled out: numbering the answers (the engine's own word is enough, and what an agent knows of the steps not yet run never changes). Change: permits begin at the engine's held step; walks lose permits; a scenario. Figures: the scenario ends in a mixed step with the safeguard out.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_agent.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_agent.py
@@ -71,7 +71,7 @@
         # the engine still says that it has it.
         kept = set(loaded) - self._dropping
         self.state = self.state.observe(next_step, until_step, kept)
-        self.state, permit = self.state.permit(self._window_steps)
+        self.state, permit = self.state.permit(self._window_steps, until_step)
         return permit
 
     def submit(self, order):
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/rank.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/rank.py
@@ -28,7 +28,8 @@
     Parameters
     ----------
     segments : tuple of MapSegment
-        Maps by first step, for the steps that are newly permitted.
+        Maps by first step, for the steps that the engine had no permit for. They
+        replace what it holds from the first of these steps on.
     until_step : int
         First step that is not permitted.
     """
@@ -196,7 +197,7 @@
             observed=True,
         )
 
-    def permit(self, window_steps):
+    def permit(self, window_steps, held_step):
         """
         Permit further steps.
 
@@ -204,6 +205,8 @@
         ----------
         window_steps : int
             How far ahead of the next step the permit reaches.
+        held_step : int
+            First step that the engine holds no permit for, as it says itself.
 
         Returns
         -------
@@ -211,13 +214,16 @@
             The state afterwards; send the permit only once it is kept.
         Permit
         """
+        if self.present is None:
+            return self, Permit((), held_step)
         end = max(self.until_step, self._limit(self.next_step + window_steps))
-        segments = self._segments(self.until_step, end)
+        # The answer to an earlier request may have been lost. Told only what is
+        # new, the engine would run the steps in between, and a switch among
+        # them, on the last map that it has heard of.
+        segments = self._segments(min(held_step, self.until_step), end)
         return self.replace(until_step=end), Permit(segments, end)
 
     def _limit(self, wanted_step):
-        if self.present is None:
-            return self.until_step
         limit = wanted_step
         # Between the promise and the decision nobody here knows whether the
         # steps from hold_step on belong to the old or the new map. Running on
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/careless.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/careless.py
@@ -3,6 +3,7 @@
 from gooseberryyoke.expert import (
     ChangePhase,
     MapChange,
+    Permit,
     Promise,
     RankMapState,
     Restore,
@@ -62,13 +63,20 @@
 
     __slots__ = ()
 
-    def _limit(self, wanted_step):
-        return wanted_step if self.present is None else super()._limit(wanted_step)
+    def permit(self, window_steps, held_step):
+        if self.present is None:
+            segments = (FIRST.replace(step=held_step),)
+            return self, Permit(segments, self.next_step + window_steps)
+        return super().permit(window_steps, held_step)
+
+
+class NewStepsAgent(RankMapState):
+    """Tells only what it has permitted since the last request."""
+
+    __slots__ = ()
 
-    def _segments(self, start, end):
-        if self.present is None and start < end:
-            return (FIRST.replace(step=start),)
-        return super()._segments(start, end)
+    def permit(self, window_steps, held_step):
+        return super().permit(window_steps, self.until_step)
 
 
 class DeafAgent(RankMapState):
@@ -142,6 +150,7 @@
     "agent takes messages to an earlier life": {"agent_class": NoLifeAgent},
     "agent breaks its promise": {"agent_class": NoHoldAgent},
     "agent promises permitted steps": {"agent_class": LateAgent},
+    "agent tells new steps only": {"agent_class": NewStepsAgent},
     "agent promises unheard": {"agent_class": DeafAgent},
     "agent guesses its map": {"agent_class": ForgettingAgent},
     "driver claims nothing": {"driver_class": NoClaimDriver},
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/group_search.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/group_search.py
@@ -166,7 +166,7 @@
 def _sync(search, agent, engine):
     state, held = search.items[agent], search.items[engine]
     state = state.observe(held.next_step, held.until_step, held.loaded)
-    state, permit = state.permit(search.group.window_steps)
+    state, permit = state.permit(search.group.window_steps, held.until_step)
     segments = held.segments + permit.segments
     held = Engine(segments, permit.until_step, held.loaded, held.ran)
     return search._id(state), search._id(held)
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/rank_group.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/rank_group.py
@@ -89,7 +89,7 @@
     def actions(self):
         found = [("mail", item) for item in self.mail]
         for rank in range(len(self.engines)):
-            found += [("sync", rank), ("load", rank)]
+            found += [("sync", rank), ("load", rank), ("lose_permit", rank)]
             if self._may_step(rank):
                 found.append(("step", rank))
             if self.restarts:
@@ -136,12 +136,18 @@
     def _sync(self, rank):
         engine = self.engines[rank]
         agent = self._observe(rank)
-        agent, permit = agent.permit(self.window_steps)
+        agent, permit = agent.permit(self.window_steps, engine.until_step)
         self.agents = _put(self.agents, rank, agent)
         segments = engine.segments + permit.segments
         engine = engine.replace(segments=segments, until_step=permit.until_step)
         self.engines = _put(self.engines, rank, engine)
 
+    def _lose_permit(self, rank):
+        engine = self.engines[rank]
+        agent = self._observe(rank)
+        agent, _ = agent.permit(self.window_steps, engine.until_step)
+        self.agents = _put(self.agents, rank, agent)
+
     def _load(self, rank):
         agent, engine = self.agents[rank], self.engines[rank]
         wanted = {part.digest for part in (agent.staged, agent.present) if part}
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_map_change_failures.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_map_change_failures.py
@@ -189,6 +189,24 @@
     assert_healthy(world.run(4).finish(0).run(4))
 
 
+def permit_lost(**parts):
+    """
+    An engine doesn't hear of the switch, but of the steps after it.
+
+    The agent's answer with the switch in it is lost. The engine asks again, and
+    must be told of all steps that it holds no permit for, not of newer ones.
+    """
+    world = RankGroup(["second"], last_step=40, **parts).run(2)
+    world = world.until(0, ChangePhase.DECIDING).exchange(0).exchange(0)
+    hold = world.drivers[0].hold_step
+    for _ in range(8):
+        ready = world.engines[0].next_step == hold == world.engines[0].until_step
+        world = world.act(("lose_permit", 0)) if ready else world
+        world = world.run()
+    assert len(world.numbers_run[0]) > hold
+    assert_healthy(world)
+
+
 def agent_without_memory(**parts):
     """
     A pause after an agent's restart, until the driver has told it the map.
@@ -216,6 +234,7 @@
         (report_of_an_ended_life, {"driver_class": careless.OldLifeDriver}),
         (thawed_driver_stages, {"agent_class": careless.NoFenceAgent}),
         (engine_not_heard_yet, {"agent_class": careless.DeafAgent}),
+        (permit_lost, {"agent_class": careless.NewStepsAgent}),
         (agent_without_memory, {"agent_class": careless.ForgettingAgent}),
     ],
 )
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_rank_state.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/test_rank_state.py
@@ -56,7 +56,7 @@
     """
     state = switched_state()
     assert refusal(state, Stage(1, LIFE, 2, 3, "third")) == "unretired"
-    _, permit = state.permit(20)
+    _, permit = state.permit(20, 0)
     assert [(part.number, part.step) for part in permit.segments] == [(1, 0), (2, 10)]
 
 
@@ -73,4 +73,4 @@
 
 def test_permit_stops_before_a_map_that_is_not_loaded():
     state = switched_state().replace(loaded=frozenset({"first"}))
-    assert state.permit(20)[1].until_step == 10
+    assert state.permit(20, 0)[1].until_step == 10
