Bound the prefix index to 20,000 digests

Ruled out: fewer holders (the cost is in the digest's own entries).

Change: 20,000 digests, 6.5 MB.

Figures: 325 bytes a digest by tracemalloc, before and after.

--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/prefix.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/prefix.py
@@ -4,7 +4,7 @@
 
 __all__ = ["PrefixIndex"]
 
-MAX_DIGESTS = 50_000
+MAX_DIGESTS = 20_000
 MAX_HOLDERS = 8
 ENOUGH_HOLDERS = 4
 
