--- a/tools/bench/capacity_deployment.py
+++ b/tools/bench/capacity_deployment.py
@@ -31,13 +31,15 @@
     ports : Ports
     entries, replicas, agents : int
         How many of each. All agents stand beside one fake backend server.
+    plain : bool
+        A plain service in place of a model engine.
 
     Attributes
     ----------
     processes : Processes
     """
 
-    def __init__(self, folder, ports, entries, replicas, agents):
+    def __init__(self, folder, ports, entries, replicas, agents, plain=False):
         folder.mkdir(parents=True)
         self.processes = Processes(folder)
         self._folder = folder
@@ -51,6 +53,7 @@
             for number in range(replicas)
         ]
         self._agents = agents
+        self._plain = plain
         self.engine = ports.take()
         self._client = HttpClient(TcpNetwork())
 
@@ -95,7 +98,8 @@
     def _start_engine(self):
         options = ["--listen", str(self.engine), "--seed", str(_SEED)]
         options += ["--slots", str(_BATCH_SLOTS)]
-        command = [sys.executable, "-m", "examples.fakes.engine", *options]
+        module = "service" if self._plain else "engine"
+        command = [sys.executable, "-m", f"examples.fakes.{module}", *options]
         self.processes.start("engine", command)
 
     def _start(self, name, settings):
@@ -141,6 +145,8 @@
             "models": ["heat-draw"],
             "load_path": "/load",
         }
+        if self._plain:
+            server |= {"kind": "plain", "service": "meet-app", "models": []}
         return self._shared(f"agent-{number}", ["agent"], listen) | {
             "entries": [entry["internal"] for entry in self._entries],
             "agent": {"server": server},
--- a/tools/bench/capacity_probes.py
+++ b/tools/bench/capacity_probes.py
@@ -22,6 +22,12 @@
     encode_claim,
     keep_answer,
 )
+from gooseberryyoke.expert import (
+    ExpertMap,
+    PlacementPolicy,
+    Rebalancer,
+    place_layer,
+)
 from gooseberryyoke.membership import (
     Directory,
     EntryAnnouncement,
@@ -47,6 +53,11 @@
 _ANSWER_BYTES = 1024
 _NOW = 1000.0
 _US = 1e6
+_EXPERTS = 128
+_RANKS = 32
+_SLOTS_PER_RANK = 5
+_DRIFT = 0.5
+_HOUR_S = 3600.0
 
 PROBES = {}
 
@@ -382,3 +393,24 @@
             _CALLS, lambda n: table[sha256(b"key-%d" % (n % size)).digest()]
         ),
     }
+
+
+@_probe
+def expert_layers(size, rng):
+    """Layers of 128 experts on 32 ranks: placed, and moved after a drift."""
+
+    def drifted(loads):
+        return [[load * rng.lognormvariate(0, _DRIFT) for load in row] for row in loads]
+
+    loads = [[rng.lognormvariate(0, 1) for _ in range(_EXPERTS)] for _ in range(size)]
+    placed = []
+    place_us = _cpu_us(
+        size,
+        lambda layer: placed.append(place_layer(loads[layer], _RANKS, _SLOTS_PER_RANK)),
+    )
+    expert_map = ExpertMap(_RANKS, placed)
+    rebalancer = Rebalancer(PlacementPolicy(), 0.0)
+    later = drifted(loads)
+    started_s = process_time()
+    rebalancer.propose(expert_map, later, _HOUR_S)
+    return {"place_us": place_us, "propose_s": process_time() - started_s}
--- a/tools/bench/capacity_processes.py
+++ b/tools/bench/capacity_processes.py
@@ -117,21 +117,29 @@
 @click.option("--series", multiple=True, type=click.Choice(list(_SERIES)))
 @click.option("--windows", default=3, show_default=True, help="Repeats of each size.")
 @click.option("--window-s", default=6.0, show_default=True, help="Length of each.")
-@click.option("--save", is_flag=True, help=f"Write {FIGURES.relative_to(ROOT)} too.")
-def main(series, windows, window_s, save):
+@click.option("--save", is_flag=True, help="Write the raw results too.")
+@click.option(
+    "--figures",
+    "path",
+    type=click.Path(path_type=Path),
+    default=FIGURES,
+    show_default=str(FIGURES.relative_to(ROOT)),
+    help="Where to; series that it has already and that are not run again stay.",
+)
+def main(series, windows, window_s, save, path):
     """Measure idle processes in groups of several sizes, and fit lines."""
     found = trio.run(_run, series or list(_SERIES), windows, window_s)
     _show(found)
     if save:
-        FIGURES.parent.mkdir(parents=True, exist_ok=True)
-        kept = json.loads(FIGURES.read_text())["series"] if FIGURES.exists() else {}
+        path.parent.mkdir(parents=True, exist_ok=True)
+        kept = json.loads(path.read_text())["series"] if path.exists() else {}
         figures = {
             "machine": {"cores": os.cpu_count(), "python": platform.python_version()},
             "settle_s": _SETTLE_S,
             "window_s": window_s,
             "series": kept | found,
         }
-        FIGURES.write_text(json.dumps(figures, indent=1) + "\n")
+        path.write_text(json.dumps(figures, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/tools/bench/capacity_state.py
+++ b/tools/bench/capacity_state.py
@@ -25,6 +25,7 @@
     "claims": (1000, 4000, 8000, 16000),
     "attempts": (250, 500, 1000, 2000),
     "datagrams": (1, 2, 4, 8, 16),
+    "expert_layers": (8, 16, 32, 64),
     "load_rows": (1, 8, 24, 96),
     "compact_accounts": (1400, 2800, 5500, 11000),
 }
