Send frames that arrive while others are being sent at once

Cause: after sending frames an agent waited for the next change although the log had grown meanwhile, so that the end of an answer often came with the next heartbeat, up to a second late. Ruled out: the entry's reader (frames arrived late on the wire); shorter heartbeats (they would hide it at the cost of messages). Change: the log is looked at again after each send. Calls that may not be repeated go to the backend server over a new connection, since a kept one that closes in that moment leaves a needless may-have-run. A replica whose seat the bundle has moved elsewhere no longer counts for its own entry.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,9 @@
 
 bench: $(VENV)/installed
 	$(BIN)/python -m tools.bench.memory
+	$(BIN)/python -m tools.bench.policy
+	$(BIN)/python -m tools.bench.expert
+	$(BIN)/python -m tools.bench.durable
 
 bench-capacity: $(VENV)/installed
 	$(BIN)/python -m tools.bench.capacity_state
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
@@ -96,6 +96,9 @@
                     self._table.note_read(attempt)
                     return
                 sequence += len(frames)
+                # The log may have grown while these were being sent. To wait here
+                # would hold back what is new until the next heartbeat.
+                continue
             with move_on_after(self._heartbeat_s) as silence:
                 await attempt.changed()
             if silence.cancelled_caught:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -83,8 +83,15 @@
 
     async def _relay(self, attempt):
         request = attempt.order.request()
+        # A kept connection may be closed by the server at just this moment, and then
+        # nobody can tell whether the request was read. A repeat finds out; what may
+        # not be repeated pays for a new connection.
         async with self._client.open(
-            self._address, request, timeout_s=self._head_timeout_s
+            self._address,
+            request,
+            timeout_s=self._head_timeout_s,
+            repeatable=attempt.order.repeatable,
+            fresh=not attempt.order.repeatable,
         ) as reply:
             headers = [pair for pair in reply.headers if _is_passed_on(pair[0])]
             attempt.log.head(reply.status, headers)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -219,8 +219,12 @@
     def _use_replicas(self, registers, own, bundle):
         peers = self._peers(bundle.durable.replicas)
         if own is not None:
+            seat = peers.get(own.seat)
             own.peers = {id: peer for id, peer in peers.items() if id != own.seat}
-            peers[own.seat] = own
+            # If the bundle has moved the seat to another instance, the holder there
+            # votes, and this one would stand in its way for its own entry.
+            if seat is not None and seat.address == self._process.internal_address:
+                peers[own.seat] = own
         registers.set_peers(peers)
 
     def _peers(self, replicas):
