Let agents pass on which bundle the entries have in force

Cause: an entry that is cut off from replicas and other entries serves a replaced bundle until its lease ends, though it meets agents that know better. Ruled out: ending the lease on hearing of a newer version (each roll would refuse requests for a moment); keeping silent servers listed because others hear them (they can't be reached from here). Change: replies to announcements carry the version in force, announcements the highest one heard; an entry looks at once and stops if the look fails. The new session fails without the end of the lease.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -114,9 +114,11 @@
             unusable,
             self._reporter.report,
             self._reporter.age_s,
+            self._table.bundle_version,
         )
 
     def _heard_interest(self, payload):
+        self._table.hear_bundle(payload["bundle_version"])
         self._table.heard_interest(
             payload["entry"], payload["attempts"], _INTEREST_PATIENCE_S
         )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
@@ -46,7 +46,7 @@
     leaving : bool
         Whether new attempts are refused.
     bundle_version : int
-        Highest version that any order has carried.
+        Highest version that any entry has told.
     """
 
     def __init__(self, incarnation, runner, nursery, clock, max_running):
@@ -88,7 +88,7 @@
             self._ledger.bar(order.attempt, order.incarnation, now)
             return Failure(refusal)
         self._ledger.take(order.attempt, order.incarnation, now).unwrap()
-        self.bundle_version = max(self.bundle_version, order.bundle_version)
+        self.hear_bundle(order.bundle_version)
         attempt = Attempt(order, now)
         self._attempts[order.attempt] = attempt
         log_event("attempt-taken", attempt=order.attempt, entry=order.entry)
@@ -187,6 +187,10 @@
                 del self._attempts[number]
         self._ledger.forget(now - LEDGER_KEEP_S)
 
+    def hear_bundle(self, version):
+        """Note a version that an entry has in force."""
+        self.bundle_version = max(self.bundle_version, version)
+
     def note_read(self, attempt):
         """Note that a reader has been sent the whole answer."""
         attempt.was_read = True
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
@@ -55,6 +55,7 @@
         self._replicas = replicas
         self._on_install = on_install
         self._lease = BundleLease()
+        self._heard_version = 0
         self._wanted = Event()
         self._checked = Event()
 
@@ -73,13 +74,34 @@
         """Tell how long the lease on the bundle still holds, in seconds."""
         return self._lease.left_s(self._clock.now())
 
+    def heard_of(self, version):
+        """
+        Take a version that an agent has heard of from another entry.
+
+        Parameters
+        ----------
+        version : int
+
+        Notes
+        -----
+        Agents meet entries that can't meet each other, nor the replicas. If the
+        look for the newer bundle fails, its predecessor is out of force at once:
+        it has been replaced for certain.
+        """
+        if version > max(self._heard_version, self._lease.version):
+            self._heard_version = version
+            self._wanted.set()
+            self._wanted = Event()
+
     async def run(self, task_status=TASK_STATUS_IGNORED):
         """Check for newer bundles until cancelled."""
         task_status.started()
         while True:
             wanted, checked = self._wanted, self._checked
-            with move_on_after(self._check_interval_s):
+            with move_on_after(self._check_interval_s) as limit:
                 await self._check()
+            if limit.cancelled_caught:
+                self._end_if_replaced()
             checked.set()
             self._checked = Event()
             with move_on_after(self._check_interval_s):
@@ -125,6 +147,7 @@
         started_s = self._clock.now()
         looked = await self._registers.read(HEAD_KEY, self._check_interval_s)
         if isinstance(looked, Failure):
+            self._end_if_replaced()
             return
         head = Head.from_json(looked.unwrap().value)
         if head is None:
@@ -134,6 +157,10 @@
             return
         await self._load(head, started_s)
 
+    def _end_if_replaced(self):
+        if self._heard_version > self._lease.version:
+            self._lease.end()
+
     async def _load(self, head, started_s):
         found = await self._content(head.version, head.digest)
         if isinstance(found, Failure) or found.unwrap() is None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/lease.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/lease.py
@@ -65,6 +65,10 @@
         self._until_s = read_started_s + bundle.durable.bundle_lease_s
         return True
 
+    def end(self):
+        """Stop serving by this bundle: it has been replaced."""
+        self._until_s = float("-inf")
+
     def left_s(self, now):
         """Tell how long the lease still holds, in seconds; 0 if it doesn't."""
         return max(0.0, self._until_s - now)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/tests/test_bundle_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/tests/test_bundle_session.py
@@ -187,3 +187,26 @@
         assert (await session.roll(changed)).status == 200
 
     run_session(body)
+
+
+def test_agents_tell_an_isolated_entry_of_a_roll():
+    """
+    An entry that meets only agents stops serving by the old bundle early.
+
+    It is cut off from the replicas and from all other entries, with a lease of
+    ten seconds to go. The agents pass on what the other entries told them; its
+    own look for the newer bundle fails, so it admits nothing more.
+    """
+
+    async def body(session):
+        await with_engine(session)
+        for host in HOSTS[:3]:
+            session.network.cut(HOSTS[3], host)
+        long = text(2).replace("bundle_lease_s: 10", "bundle_lease_s: 9")
+        await session.roll(long)
+        await sleep(2.5)
+        reply = await session.draw("seed", entry=4)
+        assert reply.json()["reason"] == "no-bundle"
+
+    leased = BUNDLE_TEXT.replace("bundle_lease_s: 2", "bundle_lease_s: 10")
+    run_session(body, text=leased)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/internal.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/internal.py
@@ -28,12 +28,15 @@
         Takes the announcements.
     in_flight : InFlight
         Attempts that this entry waits for; told to their agents.
+    bundle_version : callable
+        Gives the version in force here; 0 if none is.
     """
 
-    def __init__(self, name, roster, in_flight):
+    def __init__(self, name, roster, in_flight, bundle_version):
         self._name = name
         self._roster = roster
         self._in_flight = in_flight
+        self._bundle_version = bundle_version
 
     async def __call__(self, request):
         """
@@ -59,4 +62,9 @@
     def _server(self, announcement):
         self._roster.server_announced(announcement)
         attempts = self._in_flight.at(announcement.name)
-        return json_response(200, {"entry": self._name, "attempts": attempts})
+        told = {
+            "entry": self._name,
+            "attempts": attempts,
+            "bundle_version": self._bundle_version(),
+        }
+        return json_response(200, told)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -105,6 +105,7 @@
             self._entries,
             self._fleet,
             self._admission,
+            self._bundles.heard_of,
             self._process.clock,
         )
         async with open_nursery() as nursery:
@@ -114,7 +115,14 @@
             nursery.start_soon(self._announcer.run)
             nursery.start_soon(self._serve_callers, listeners)
             task_status.started(
-                [EntryInternalRoutes(self._process.name, roster, self._in_flight)]
+                [
+                    EntryInternalRoutes(
+                        self._process.name,
+                        roster,
+                        self._in_flight,
+                        self._bundle_version,
+                    )
+                ]
             )
 
     async def leave(self):
@@ -152,9 +160,8 @@
         while True:
             await sleep(self._settings.announce_interval_s)
             roster.expire()
-            bundle = self._bundles.current()
             self._observer.system_seen(
-                0 if bundle is None else bundle.version,
+                self._bundle_version(),
                 self._bundles.lease_left_s(),
                 roster.servers_by_service(),
             )
@@ -204,7 +211,6 @@
         ]
 
     def _announcement(self, sequence):
-        bundle = self._bundles.current()
         return EntryAnnouncement(
             self._process.name,
             self.incarnation,
@@ -212,10 +218,14 @@
             self._process.data_centre,
             self._url,
             self._addresses.leaving,
-            0 if bundle is None else bundle.version,
+            self._bundle_version(),
             self._admission.usage(),
         )
 
+    def _bundle_version(self):
+        bundle = self._bundles.current()
+        return 0 if bundle is None else bundle.version
+
 
 def _public_url(settings):
     if settings.entry.public_url is not None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
@@ -17,14 +17,17 @@
     servers, entries : Directory
     fleet : Fleet
     admission : Admission
+    heard_of_bundle : callable
+        Takes versions that agents have heard of.
     clock : Clock
     """
 
-    def __init__(self, servers, entries, fleet, admission, clock):
+    def __init__(self, servers, entries, fleet, admission, heard_of_bundle, clock):
         self._servers = servers
         self._entries = entries
         self._fleet = fleet
         self._admission = admission
+        self._heard_of_bundle = heard_of_bundle
         self._clock = clock
 
     def entry_announced(self, announcement):
@@ -52,6 +55,7 @@
             announcement.models,
             announcement.leaving,
         )
+        self._heard_of_bundle(announcement.bundle_version)
         if announcement.report:
             report = _report_of(announcement)
             self._fleet.reported(announcement.name, report, self._clock.now())
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
@@ -97,6 +97,8 @@
         Latest load report, as the backend server gave it; empty if none.
     report_age_s : float
         Age of the report when the announcement was made, in seconds.
+    bundle_version : int
+        Highest version that any entry has told the agent; 0 if none has.
     """
 
     __slots__ = (
@@ -110,6 +112,7 @@
         "leaving",
         "report",
         "report_age_s",
+        "bundle_version",
     )
     KINDS = {
         "name": str,
@@ -122,6 +125,7 @@
         "leaving": bool,
         "report": dict,
         "report_age_s": float,
+        "bundle_version": int,
     }
 
     def __init__(
@@ -136,6 +140,7 @@
         leaving,
         report,
         report_age_s,
+        bundle_version,
     ):
         self.name = name
         self.incarnation = incarnation
@@ -147,6 +152,7 @@
         self.leaving = leaving
         self.report = report
         self.report_age_s = report_age_s
+        self.bundle_version = bundle_version
 
 
 class EntryAnnouncement(_Announcement):
