--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/rank_group.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/tests/rank_group.py
@@ -39,6 +39,7 @@
 
     def step(self):
         started = [part for part in self.segments if part.step <= self.next_step]
+        assert started, f"step {self.next_step} was permitted without a map"
         return self.replace(ran=(*self.ran, started[-1].number))
 
 
