Refuse malformed input at each port before anything of it is kept

Cause: what the system's own processes send was trusted once its signature was right, and the callers' and operators' ports had gaps.

- an order for an attempt with a budget below zero, a method that is no text, or headers that are no pairs ended the agent; other fields gave 500;
- an infinite patience travels as null, which the agent could not run;
- a bar with the time nan was answered as if it proved something; a resumption from "x" gave 500, from -1 counted from the end;
- an announcement was kept before its report or usage was read: 500, and a malformed usage failed each later sum over the entries;
- a replica took ballots and cells of wrong types, and refused other messages only after it had carried out the rest of their batch, without a verdict;
- a chat nested deeper than orjson writes gave 500; so did any path outside /operator/ at the operators' port. max_tokens true counted as 1 (read in the code; no test of its own).

Ruled out: catching everything at the handlers. It would hide that state had been changed before the failure.

Change: types and ranges are checked in the records' from_json and in the registers' codec. The agent takes a server with a malformed load report as unreachable, since entries now refuse its announcement. Two tests are replaced: the one that wanted None from the operators' routes for a foreign path (None was the 500) wants 404, and the codec's samples have the types that the messages document, with eight more malformed ones refused.

Not covered: TLS handshakes, raw bytes that are no HTTP (the wire has its own fuzz), the groups' routes (no process mounts them yet), and well-formed messages that are untrue.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/attempt.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/attempt.py
@@ -1,6 +1,7 @@
 """One attempt: the order that an entry gives, and how far it has got."""
 
 from base64 import b64decode, b64encode
+from math import inf, isfinite
 
 from trio import CancelScope, Event
 
@@ -12,6 +13,20 @@
 __all__ = ["Attempt", "AttemptOrder"]
 
 
+_SHOWN_CHARACTERS = 80
+_KINDS = {
+    "attempt": (str,),
+    "entry": (str,),
+    "incarnation": (int,),
+    "ordered_s": (float, int),
+    "bundle_version": (int,),
+    "repeatable": (bool,),
+    "budget_s": (float, int),
+    "method": (str,),
+    "target": (str,),
+}
+
+
 class AttemptOrder(Record):
     """
     What an entry asks an agent to run.
@@ -97,9 +112,37 @@
         try:
             fields = dict(payload)
             fields["body"] = b64decode(fields["body"], validate=True)
-            return cls(**fields)
+            if fields.get("budget_s", 0) is None:
+                # JSON has no infinity: a patience without end arrives as null.
+                fields["budget_s"] = inf
+            order = cls(**fields)
         except (KeyError, TypeError, ValueError) as exc:
             raise OrderError(f"no order for an attempt: {exc!r}") from exc
+        order.check()
+        return order
+
+    def check(self):
+        """
+        Check types and ranges.
+
+        Raises
+        ------
+        OrderError
+            Naming the field. An order is run apart from the connection that
+            brought it: what fails there ends the agent.
+        """
+        for name, kind in _KINDS.items():
+            value = getattr(self, name)
+            if type(value) not in kind:
+                shown = repr(value)[:_SHOWN_CHARACTERS]
+                raise OrderError(f"{name} is {shown}, expected {kind[0].__name__}")
+        if not self.attempt or not self.budget_s >= 0 or not isfinite(self.ordered_s):
+            raise OrderError("attempt is empty, or a time is out of range")
+        if self.bundle_version < 0:
+            raise OrderError(f"bundle_version is {self.bundle_version}")
+        for pair in self.headers:
+            if len(pair) != 2 or not all(isinstance(text, str) for text in pair):
+                raise OrderError("headers holds other things than pairs of texts")
 
     def request(self):
         """Build the request for the backend server."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
@@ -2,6 +2,7 @@
 
 from trio import sleep
 
+from gooseberryyoke.membership import mistake_in_report
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import WireError
 
@@ -77,7 +78,13 @@
         except WireError:
             self.reachable = False
             return
-        self.reachable = reply.status == _OK and isinstance(reply.payload, dict)
+        # Entries refuse an announcement whose report is malformed. The server
+        # would seem silent; told as unreachable it shows in log and metrics.
+        self.reachable = (
+            reply.status == _OK
+            and isinstance(reply.payload, dict)
+            and mistake_in_report(reply.payload) is None
+        )
         if self.reachable:
             self.report = reply.payload
             self.leaving = bool(reply.payload.get("leaving", False))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
@@ -1,5 +1,7 @@
 """What other processes may ask of an agent."""
 
+from math import isfinite
+
 from orjson import JSONDecodeError, loads
 from returns.result import Failure
 from trio import move_on_after
@@ -13,6 +15,8 @@
 __all__ = ["AgentRoutes"]
 
 _PREFIX = "/internal/attempts"
+_MOST_DIGITS = 15
+_SHOWN_CHARACTERS = 200
 _FRAMES = (("content-type", "application/x-ndjson"),)
 
 
@@ -73,15 +77,22 @@
         attempt = self._table.find(number)
         if attempt is None:
             return problem_response(self._table.unknown(number))
-        start = int(request.query.get("from", "0"))
-        return Response(200, _FRAMES, self._frames(attempt, start))
+        start = request.query.get("from", "0")
+        if not _is_sequence(start):
+            detail = f"from is {start[:_SHOWN_CHARACTERS]!r}, expected a frame's number"
+            return problem_response(Refusal(Verdict.NOT_RUN, 400, "from", detail))
+        return Response(200, _FRAMES, self._frames(attempt, int(start)))
 
     def _bar(self, number, request):
         try:
             asked = loads(request.body)
             incarnation, ordered_s = asked["incarnation"], float(asked["ordered_s"])
+            if type(incarnation) is not int or not isfinite(ordered_s):
+                raise ValueError(f"incarnation {incarnation!r}, ordered_s {ordered_s}")
         except (JSONDecodeError, KeyError, TypeError, ValueError) as exc:
-            return problem_response(Refusal(Verdict.NOT_RUN, 400, "bar", repr(exc)))
+            return problem_response(
+                Refusal(Verdict.NOT_RUN, 400, "bar", repr(exc)[:_SHOWN_CHARACTERS])
+            )
         state = self._table.bar(number, incarnation, ordered_s)
         return json_response(200, {"outcome": state.value})
 
@@ -105,6 +116,10 @@
                 yield encode_frame(HeartbeatFrame(attempt.order.attempt))
 
 
+def _is_sequence(text):
+    return text.isascii() and text.isdigit() and len(text) <= _MOST_DIGITS
+
+
 def _not_found(request):
     detail = f"{request.method} {request.path} is no call of this process"
     return Refusal(Verdict.NOT_RUN, 404, "not-found", detail)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/classify.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/classify.py
@@ -2,7 +2,7 @@
 
 from math import isfinite
 
-from orjson import JSONDecodeError, loads
+from orjson import JSONDecodeError, JSONEncodeError, dumps, loads
 from returns.result import Failure
 
 from gooseberryyoke.bundle import ENGINE
@@ -80,6 +80,11 @@
         return _refuse(400, "no-json", f"the body is not JSON: {exc}")
     if not isinstance(body, dict) or not isinstance(body.get("model"), str):
         return _refuse(400, "no-model", "the body names no model")
+    try:
+        dumps(body)
+    except JSONEncodeError as exc:
+        # Deeper than can be written again; the estimate of the demand would fail.
+        return _refuse(400, "no-json", f"the body can't be passed on: {exc}")
     exchange.body = body
     exchange.wants_stream = body.get("stream") is True
     return None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/demand.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/demand.py
@@ -71,7 +71,7 @@
 
 def _token_limit(body):
     limit = body.get("max_completion_tokens", body.get("max_tokens"))
-    return limit if isinstance(limit, int) and limit > 0 else None
+    return limit if type(limit) is int and limit > 0 else None
 
 
 def _prefix_digests(model, prompt):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/routes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/routes.py
@@ -11,7 +11,6 @@
 
 __all__ = ["OperatorRoutes"]
 
-_PREFIX = "/operator/"
 _MOST_VERSION_DIGITS = 16
 _MOST_WATCHERS = 16
 _WATCH_INTERVAL_S = 0.5
@@ -66,11 +65,8 @@
 
         Returns
         -------
-        Response or None
-            None if the path isn't one for operators.
+        Response
         """
-        if not request.path.startswith(_PREFIX):
-            return None
         route = self._routes.get((request.method, request.path))
         if route is None:
             detail = f"found {request.method} {request.path}, expected a known route"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/tests/test_operators.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/operators/tests/test_operators.py
@@ -148,9 +148,10 @@
     assert len(turns) > 2
 
 
-def test_other_paths_are_left_to_others():
+def test_other_paths_are_refused():
+    """Nobody else serves this port: None in place of an answer became a 500."""
     _, route = routes()
-    assert trio.run(route, Request("GET", "/metrics")) is None
+    assert ask(route, "GET", "/metrics")[0] == 404
     assert ask(route, "DELETE", "/operator/bundle")[0] == 404
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -3,21 +3,33 @@
 import orjson
 import trio
 
+from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke.register import Acceptor, ReplicaState, decode, encode
 from gooseberryyoke.register.changes import Identified, PeerSeen
 from gooseberryyoke.register.exceptions import UndecodableRecord
+from gooseberryyoke.register.messages import (
+    Accept,
+    Copy,
+    Forget,
+    Hello,
+    Prepare,
+    Read,
+    Scan,
+)
 from gooseberryyoke.register.repair import next_incarnation
 from gooseberryyoke.register.state import READY
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import REGISTER_PATH, PeerFailed
 from gooseberryyoke_daemon.replica.joining import FolderOutdated, Joining
 from gooseberryyoke_daemon.storage import DamagedFile, DiskFailed, Journal, recover
-from gooseberryyoke_daemon.wire import json_response
+from gooseberryyoke_daemon.wire import json_response, problem_response
 
 __all__ = ["Replica"]
 
 _BAD_REQUEST = 400
 _METHOD_NOT_ALLOWED = 405
+_SHOWN_CHARACTERS = 300
+_REQUESTS = (Accept, Copy, Forget, Hello, Prepare, Read, Scan)
 _UNAVAILABLE = 503
 _DEFAULT_HELLO_S = 1.0
 
@@ -243,19 +255,31 @@
         if request.path != REGISTER_PATH:
             return None
         if request.method != "POST":
-            return json_response(_METHOD_NOT_ALLOWED, {"reason": "method-not-allowed"})
+            detail = f"found {request.method}, expected POST"
+            refused = Refusal(Verdict.NOT_RUN, _METHOD_NOT_ALLOWED, "method", detail)
+            return problem_response(refused)
         try:
-            messages = [decode(item) for item in orjson.loads(request.body)]
+            messages = [_request_of(item) for item in orjson.loads(request.body)]
             replies = await self._answer(messages)
         except (UndecodableRecord, orjson.JSONDecodeError, TypeError) as exc:
-            detail = {"reason": "bad-message", "detail": str(exc)}
-            return json_response(_BAD_REQUEST, detail)
+            detail = str(exc)[:_SHOWN_CHARACTERS]
+            refusal = Refusal(Verdict.NOT_RUN, _BAD_REQUEST, "bad-message", detail)
+            return problem_response(refusal)
         except PeerFailed as exc:
             detail = {"reason": "replica-failed", "detail": str(exc)}
             return json_response(_UNAVAILABLE, detail)
         return json_response(200, [encode(reply) for reply in replies])
 
 
+def _request_of(item):
+    # All are decoded before any is answered, so that a batch with a malformed
+    # message leaves no trace of the others.
+    message = decode(item)
+    if not isinstance(message, _REQUESTS):
+        raise UndecodableRecord(f"{item[0]} is no request to a replica")
+    return message
+
+
 def _first(group):
     exc = group.exceptions[0]
     return _first(exc) if isinstance(exc, BaseExceptionGroup) else exc
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/__init__.py
@@ -5,6 +5,7 @@
     ServerAnnouncement,
     new_incarnation,
 )
+from gooseberryyoke.membership.checks import mistake_in_report
 from gooseberryyoke.membership.directory import Directory
 from gooseberryyoke.membership.exceptions import AnnouncementError
 
@@ -13,5 +14,6 @@
     "Directory",
     "EntryAnnouncement",
     "ServerAnnouncement",
+    "mistake_in_report",
     "new_incarnation",
 ]
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
@@ -1,11 +1,19 @@
 """Announcements of backend servers and of entries."""
 
+from gooseberryyoke.membership.checks import (
+    is_amount,
+    mistake_in_models,
+    mistake_in_report,
+    mistake_in_usage,
+)
 from gooseberryyoke.membership.exceptions import AnnouncementError
 from gooseberryyoke.record import Record
 
 __all__ = ["EntryAnnouncement", "ServerAnnouncement", "new_incarnation"]
 
 _RANDOM_BITS = 20
+_MOST_CHARACTERS = 255
+_SHOWN_CHARACTERS = 300
 
 
 def new_incarnation(now, rng):
@@ -57,7 +65,7 @@
         Raises
         ------
         AnnouncementError
-            If a field is missing, unknown, or of another type.
+            If a field is missing, unknown, of another type or out of range.
         """
         try:
             found = cls(**body)
@@ -69,8 +77,26 @@
                 raise AnnouncementError(
                     f"{name} is {value!r}, expected {kind.__name__}"
                 )
+        mistake = found.mistake()
+        if mistake is not None:
+            raise AnnouncementError(mistake[:_SHOWN_CHARACTERS])
         return found
 
+    def mistake(self):
+        """
+        Check what the types of the fields don't tell.
+
+        Returns
+        -------
+        str or None
+            What is wrong.
+        """
+        if not 0 < len(self.name) <= _MOST_CHARACTERS:
+            return f"name has {len(self.name)} characters"
+        if self.incarnation < 0 or self.sequence < 0:
+            return "incarnation or sequence is below 0"
+        return None
+
 
 class ServerAnnouncement(_Announcement):
     """
@@ -154,6 +180,18 @@
         self.report_age_s = report_age_s
         self.bundle_version = bundle_version
 
+    def mistake(self):
+        """See the base class; also models, report and its age."""
+        if not is_amount(self.report_age_s):
+            return f"report_age_s is {self.report_age_s!r}, expected seconds"
+        if self.bundle_version < 0:
+            return f"bundle_version is {self.bundle_version}, expected 0 or more"
+        return (
+            super().mistake()
+            or mistake_in_models(self.models)
+            or mistake_in_report(self.report)
+        )
+
 
 class EntryAnnouncement(_Announcement):
     """
@@ -217,3 +255,9 @@
         self.leaving = leaving
         self.bundle_version = bundle_version
         self.usage = usage
+
+    def mistake(self):
+        """See the base class; also version and usage."""
+        if self.bundle_version < 0:
+            return f"bundle_version is {self.bundle_version}, expected 0 or more"
+        return super().mistake() or mistake_in_usage(self.usage)
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
@@ -42,21 +42,44 @@
     return {name: _pack(item) for name, item in field.items()}
 
 
+def _text(packed):
+    if type(packed) is not str:
+        raise TypeError(f"{packed!r} is no text")
+    return packed
+
+
+def _count(packed):
+    if type(packed) is not int or packed < 0:
+        raise TypeError(f"{packed!r} is no whole number from 0")
+    return packed
+
+
+def _flag(packed):
+    if type(packed) is not bool:
+        raise TypeError(f"{packed!r} is neither true nor false")
+    return packed
+
+
 def _ballot(packed):
-    return Ballot(*packed)
+    counter, proposer = packed
+    return Ballot(_count(counter), _text(proposer))
 
 
 def _cell(packed):
-    return cell.Cell(*packed)
+    version, value, operation, previous = packed
+    return cell.Cell(_count(version), value, _text(operation), _count(previous))
 
 
 def _slot(packed):
     promised, accepted, content, copied = packed
-    return cell.Slot(_ballot(promised), _ballot(accepted), _cell(content), copied)
+    return cell.Slot(
+        _ballot(promised), _ballot(accepted), _cell(content), _flag(copied)
+    )
 
 
 def _incarnation(packed):
-    return identity.Incarnation(*packed)
+    generation, nonce = packed
+    return identity.Incarnation(_count(generation), _text(nonce))
 
 
 def _roster(packed):
@@ -72,7 +95,20 @@
     return [messages.KeyedSlot(key, _slot(slot)) for key, slot in packed]
 
 
+# What a replica keeps of a message it keeps for good and passes on. A key or a
+# ballot of another type would stand in the order of the keys or be compared with
+# each later ballot, and fail every request that meets it, also after a restart.
 _UNPACK = {
+    "key": _text,
+    "prefix": _text,
+    "after": _text,
+    "seat": _text,
+    "nonce": _text,
+    "limit": _count,
+    "position": _count,
+    "floor": _count,
+    "fresh": _flag,
+    "copied": _flag,
     "ballot": _ballot,
     "promised": _ballot,
     "accepted": _ballot,
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
@@ -32,6 +32,10 @@
     "founders": {"r1": INCARNATION},
     "seat": "r1",
     "nonce": "n",
+    "prefix": "k",
+    "after": "k1",
+    "copied": True,
+    "fresh": False,
 }
 TYPES = [
     getattr(module, name)
@@ -48,7 +52,15 @@
 
 
 @pytest.mark.parametrize(
-    "packed", [None, [], ["Nothing"], ["Prepare", "k"], ["Prepare", "k", 3], {}]
+    "packed",
+    [
+        *(None, [], ["Nothing"], ["Prepare", "k"], ["Prepare", "k", 3], {}),
+        *(["Prepare", 5, [1, "p"]], ["Prepare", "k", [True, "p"]]),
+        *(["Prepare", "k", [-1, "p"]], ["Prepare", "k", [1.5, "p"]]),
+        *(["Scan", "", "", -1], ["Hello", "r1", [1, 2], 0, False]),
+        ["Accept", "k", [1, "p"], ["1", None, "o", 0]],
+        ["Hello", "r1", [1, "n"], 0, 1],
+    ],
 )
 def test_anything_else_is_refused(packed):
     with pytest.raises(UndecodableRecord):
