Split the way to an agent and the answers into modules of one job

Ruled out: leaving the attempt private to the link (the claims need its name). Change: remote_attempt.py with a reference record, answer.py; behaviour as before. Conclusion: each module says its job in one line.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
@@ -8,13 +8,13 @@
 from gooseberryyoke.claim import AnswerAgain, TellMayHaveRun, TellMismatch, Wait
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.claims import Proceed
+from gooseberryyoke_daemon.entry.answer import Answer
 from gooseberryyoke_daemon.entry.claim_support import (
     CONTENDED,
     RETRY_S,
     digest_of,
     no_majority,
 )
-from gooseberryyoke_daemon.entry.delivery import Answer
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["Claim"]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim_support.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim_support.py
@@ -7,6 +7,7 @@
 from gooseberryyoke.claim import AttemptOutcome, AttemptState, keep_answer
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.entry.delivery import Delivery
+from gooseberryyoke_daemon.entry.remote_attempt import AttemptReference
 from gooseberryyoke_daemon.wire import Address
 
 __all__ = [
@@ -59,13 +60,15 @@
         """
         delivery = Delivery()
         delivery.begin_attempt(streaming=False)
-        followed = await self._link.follow(
+        reference = AttemptReference(
             Address.parse(claim.agent),
             claim.attempt,
             int(claim.incarnation),
             claim.reserved_s,
-            delivery,
-            self._clock.now() + _LOST_AGENT_S,
+            repeatable=False,
+        )
+        followed = await self._link.follow(
+            reference, delivery, self._clock.now() + _LOST_AGENT_S
         )
         if isinstance(followed, Success):
             return AttemptOutcome(AttemptState.DONE, kept_form(delivery.take_answer()))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -1,49 +1,29 @@
 """Where an answer goes: whole, or piece by piece while it is produced."""
 
-from orjson import dumps
 from returns.result import Failure
 from trio import BrokenResourceError, Event, open_memory_channel
 from xxhash import xxh3_128
 
-from gooseberryyoke.outcome import Verdict
-from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.entry.answer import (
+    Answer,
+    answer_headers,
+    error_event,
+    verdict_of_status,
+)
 from gooseberryyoke_daemon.entry.exceptions import (
     AnswerDiffers,
     CallerGone,
     StreamCut,
 )
-from gooseberryyoke_daemon.wire import VERDICT_HEADER, Response, problem_response
+from gooseberryyoke_daemon.wire import Response, problem_response
 
-__all__ = ["Answer", "Delivery", "verdict_of_status"]
+__all__ = ["Delivery"]
 
 _CHUNKS_AHEAD = 64
 _CLIENT_ERROR = 400
-_SERVER_ERROR = 500
 _EVENT_STREAM = "text/event-stream"
 
 
-class Answer(Record):
-    """
-    A whole answer of a backend server.
-
-    Parameters
-    ----------
-    status : int
-    headers : tuple of (str, str)
-    body : bytes
-        Empty if the pieces have been passed on already.
-    verdict : Verdict
-    """
-
-    __slots__ = ("status", "headers", "body", "verdict")
-
-    def __init__(self, status, headers, body, verdict):
-        self.status = status
-        self.headers = tuple(tuple(pair) for pair in headers)
-        self.body = body
-        self.verdict = verdict
-
-
 class Delivery:
     """
     The answer to one request, on its way to the caller.
@@ -227,7 +207,9 @@
 
     async def _pass_on(self, data):
         if not self._ready.is_set():
-            headers = _headers(self.head.headers, verdict_of_status(self.head.status))
+            headers = answer_headers(
+                self.head.headers, verdict_of_status(self.head.status)
+            )
             self._response = Response(self.head.status, headers, self._chunks())
             self._ready.set()
         self._sum.update(data)
@@ -240,7 +222,7 @@
     def _complete(self, answer):
         self._whole = True
         if not self.started:
-            headers = _headers(answer.headers, answer.verdict)
+            headers = answer_headers(answer.headers, answer.verdict)
             self._response = Response(answer.status, headers, answer.body)
 
     def _refuse(self, refusal):
@@ -249,7 +231,7 @@
             return
         kinds = dict(self.head.headers)
         if kinds.get("content-type", "").startswith(_EVENT_STREAM):
-            self._body = bytearray(_error_event(refusal))
+            self._body = bytearray(error_event(refusal))
 
     async def _chunks(self):
         # The server closes this generator when the caller leaves. Without the
@@ -265,35 +247,3 @@
             if self._body:
                 yield bytes(self._body)
             raise StreamCut
-
-
-def verdict_of_status(status):
-    """
-    Tell whether a backend server that answered with a status has run the request.
-
-    Parameters
-    ----------
-    status : int
-
-    Returns
-    -------
-    Verdict
-        May-have-run for 5xx: a server that failed may have done its work before.
-    """
-    return Verdict.MAY_HAVE_RUN if status >= _SERVER_ERROR else Verdict.RAN
-
-
-def _headers(headers, verdict):
-    return (*headers, (VERDICT_HEADER, verdict.value))
-
-
-def _error_event(refusal):
-    problem = dumps(
-        {
-            "reason": refusal.reason,
-            "detail": refusal.detail,
-            "verdict": refusal.verdict.value,
-            "retry_after_s": refusal.retry_after_s,
-        }
-    )
-    return b"event: error\ndata: " + problem + b"\n\n"
