--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -3,7 +3,7 @@
 from functools import partial
 
 from returns.result import Failure, Success
-from trio import TASK_STATUS_IGNORED, open_nursery
+from trio import TASK_STATUS_IGNORED, move_on_after, open_nursery
 
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.agent import AgentNode
@@ -11,6 +11,7 @@
 from gooseberryyoke_daemon.claims import ClaimKeeper, ClaimSweeper
 from gooseberryyoke_daemon.entry import EntryNode, Observer
 from gooseberryyoke_daemon.guard import Guard
+from gooseberryyoke_daemon.leases import LeaseKeeper
 from gooseberryyoke_daemon.operators import Approval, OperatorRoutes
 from gooseberryyoke_daemon.process import Process
 from gooseberryyoke_daemon.registers import HttpPeer, RegisterClient
@@ -26,6 +27,10 @@
 # Well below the time for an operation on a register, so that a connection that
 # has gone silent is given up and the call made again within it.
 _REPLICA_TIMEOUT_S = 0.5
+_SWEEP_LEASE = "claim-sweep"
+_SWEEP_LEASE_S = 60.0
+_RELEASE_S = 2.0
+_IDENTITY_BITS = 64
 
 
 class Credentials(Record):
@@ -90,6 +95,11 @@
     rng : random.Random
     open_disk : callable, optional
         Opens the data folder; tests pass one in memory.
+
+    Attributes
+    ----------
+    sweep_lease : LeaseKeeper or None
+        Of an entry: who holds it deletes old claims.
     """
 
     def __init__(
@@ -108,6 +118,7 @@
             rng,
             settings.limits,
         )
+        self.sweep_lease = None
         self._leavers = []
         self._routes = []
 
@@ -186,16 +197,35 @@
         )
         await nursery.start(bundles.run)
         claims = ClaimKeeper(registers, process.clock.wall)
-        sweeper = ClaimSweeper(
-            registers, process.clock.wall, partial(_claim_retention_s, bundles)
-        )
-        nursery.start_soon(sweeper.run)
+        await self._start_sweeper(nursery, registers, bundles)
         observer = Observer(process.metrics)
         entry = EntryNode(settings, process, bundles, claims, observer)
         self._routes.extend(await nursery.start(entry.run))
         self._leavers.append(entry.leave)
         await self._start_operators(nursery, bundles, entry)
 
+    async def _start_sweeper(self, nursery, registers, bundles):
+        process = self._process
+        self.sweep_lease = LeaseKeeper(
+            registers,
+            _SWEEP_LEASE,
+            f"{process.name}-{process.rng.getrandbits(_IDENTITY_BITS):x}",
+            process.clock.now,
+            process.rng,
+            _SWEEP_LEASE_S,
+        )
+        await nursery.start(self.sweep_lease.run)
+        self._leavers.append(self._release_sweep)
+        retention_s = partial(_claim_retention_s, bundles, self.sweep_lease)
+        sweeper = ClaimSweeper(registers, process.clock.wall, retention_s)
+        nursery.start_soon(sweeper.run)
+
+    async def _release_sweep(self):
+        # Without a majority it can't be given up, and then runs out by itself: a
+        # stop of all processes at once must not wait for that.
+        with move_on_after(_RELEASE_S):
+            await self.sweep_lease.release()
+
     async def _start_operators(self, nursery, bundles, entry):
         settings, process = self._settings, self._process
         approval = Approval(
@@ -238,8 +268,10 @@
         }
 
 
-def _claim_retention_s(bundles):
-    bundle = bundles.current()
+def _claim_retention_s(bundles, lease):
+    # One entry sweeps for all. Two that do after a change of holder do no harm,
+    # but each of hundreds would read all claims every minute.
+    bundle = bundles.current() if lease.grant() is not None else None
     return None if bundle is None else bundle.durable.claim_retention_s
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -135,6 +135,7 @@
         self._deployment = parse_bundle(text).unwrap().deployment
         self.clock = Clock(wall=lambda: _EPOCH_S + self.clock.now())
         self.scopes = {}
+        self.killed = set()
         self.daemons = {}
         self.disks = {}
         self._private_key, self._public_key = make_key_pair()
@@ -216,6 +217,7 @@
     def kill(self, name):
         """End a process without any farewell."""
         self.scopes[name].cancel()
+        self.killed.add(name)
 
     async def stop(self, name):
         """Stop a process as its command does on SIGTERM."""
@@ -290,6 +292,7 @@
             lambda name: self.disks.setdefault(name, MemoryDisk()),
         )
         self.daemons[settings.name] = daemon
+        self.killed.discard(settings.name)
         await self.nursery.start(self._run, settings.name, daemon)
         return daemon
 
