--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -98,6 +98,8 @@
 
     Attributes
     ----------
+    nodes : dict of str to EntryNode or AgentNode
+        By role.
     sweep_lease : LeaseKeeper or None
         Of an entry: who holds it deletes old claims.
     """
@@ -118,6 +120,7 @@
             rng,
             settings.limits,
         )
+        self.nodes = {}
         self.sweep_lease = None
         self._leavers = []
         self._routes = []
@@ -200,6 +203,7 @@
         await self._start_sweeper(nursery, registers, bundles)
         observer = Observer(process.metrics)
         entry = EntryNode(settings, process, bundles, claims, observer)
+        self.nodes["entry"] = entry
         self._routes.extend(await nursery.start(entry.run))
         self._leavers.append(entry.leave)
         await self._start_operators(nursery, bundles, entry)
@@ -242,7 +246,7 @@
     async def _start_agent(self, nursery):
         if "agent" not in self._settings.roles:
             return
-        agent = AgentNode(self._settings, self._process)
+        agent = self.nodes["agent"] = AgentNode(self._settings, self._process)
         self._routes.extend(await nursery.start(agent.run))
         self._leavers.append(agent.leave)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/tests/test_port_fuzz.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/tests/test_port_fuzz.py
@@ -110,7 +110,8 @@
         assert status == 200, (case, status, body)
 
     def node(self, name):
-        return self.session.daemons[name]._leavers[0].__self__
+        (node,) = self.session.daemons[name].nodes.values()
+        return node
 
     async def held(self):
         state = (await self.session.operate("GET", "/operator/status")).payload
