--- a/examples/sessions/system.py
+++ b/examples/sessions/system.py
@@ -8,12 +8,10 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-import orjson
-
 from examples.demonstration.deployment import Deployment
 from examples.demonstration.ports import Ports
 from examples.demonstration.profile import PROFILES
-from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.testing.session import Reply
 from gooseberryyoke_daemon.wire import HttpClient, Request, TcpNetwork
 
 __all__ = ["ProcessSystem", "running", "small_profile"]
@@ -35,30 +33,6 @@
     return celins.replace(engines=engines, plain_servers=plain_servers)
 
 
-class Answer(Record):
-    """What a caller got."""
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-    def header(self, name):
-        """Give a header by its lower-case name, or None."""
-        return dict(self.headers).get(name)
-
-    @property
-    def verdict(self):
-        """Value of the verdict header."""
-        return self.header("gooseberryyoke-verdict")
-
-    def json(self):
-        """Decode the body."""
-        return orjson.loads(self.body)
-
-
 class ProcessSystem:
     """
     Processes with their addresses and files.
@@ -108,7 +82,7 @@
         address = self.deployment.entries[entry - 1].callers
         request = Request(method, target, pairs, body)
         async with self._client.open(address, request, _TIMEOUT_S) as reply:
-            return Answer(reply.status, reply.headers, await reply.read())
+            return Reply(reply.status, reply.headers, await reply.read())
 
     async def roll(self, text, entry=1):
         """Sign a bundle off and send it to one entry, with the operators' client."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -40,7 +40,7 @@
 )
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["BUNDLE_TEXT", "Session", "run_session"]
+__all__ = ["BUNDLE_TEXT", "Reply", "Session", "run_session"]
 
 _EPOCH_S = 1_800_000_000.0
 _KEYS = {"k1": b"internal-key-of-the-tests"}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/tests/test_port_faults.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/tests/test_port_faults.py
@@ -42,7 +42,7 @@
 
 
 def order(session, **changes):
-    agent = session.daemons["g1"]._leavers[0].__self__
+    agent = session.daemons["g1"].nodes["agent"]
     times = (session.clock.wall(), 1, True, 5.0)
     made = AttemptOrder(
         "a1", "e9", agent.incarnation, *times, "POST", "/x", (), dumps({"messages": []})
@@ -181,7 +181,7 @@
 
     async def body(session):
         await start(session, FakeEngine())
-        agent = session.daemons["g1"]._leavers[0].__self__
+        agent = session.daemons["g1"].nodes["agent"]
         agent._table.take(AttemptOrder.from_json(order(session)))
         path = f"/internal/attempts/a1?from={first}"
         status, told = await send(session, AGENT, "GET", path, None)
@@ -242,7 +242,7 @@
         await start(session, Odd())
         reply = await session.draw("one two")
         assert (reply.status, reply.verdict) == (503, "not-run")
-        agent = session.daemons["g1"]._leavers[0].__self__
+        agent = session.daemons["g1"].nodes["agent"]
         assert not agent._reporter.reachable
 
     run_session(body)
