Don't take a shorter second answer for the end of the first

Cause: found on reading: a repeatable stream whose agent is lost goes on with a second engine's answer, skipping what the caller has got. If that answer ended before that point, nothing was compared and the stream was ended as whole. Ruled out: comparing lengths at each piece (the end is where it shows). Conclusion: a resumed stream is whole only if the second answer covers the first.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -175,7 +175,14 @@
         Returns
         -------
         Answer
+
+        Raises
+        ------
+        AnswerDiffers
+            If it ended before what the caller has got already.
         """
+        if self._skip_bytes > 0:
+            raise AnswerDiffers(f"{self._skip_bytes} bytes short of the one before")
         verdict = verdict_of_status(self.head.status)
         return Answer(self.head.status, self.head.headers, bytes(self._body), verdict)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -68,7 +68,7 @@
             refusal = result.failure()
             exchange.verdict = before.then(refusal.verdict)
             return Failure(refusal.replace(verdict=exchange.verdict))
-        answer = exchange.delivery.take_answer()
+        answer = result.unwrap()
         if exchange.repeatable and answer.status in _SERVER_DOWN:
             self._fleet.failed(server, number, self._clock.now())
             return Failure(_server_down(answer))
@@ -84,9 +84,10 @@
         )
         exchange.delivery.begin_attempt(exchange.wants_stream, started)
         try:
-            return await self._link.run(
+            ended = await self._link.run(
                 exchange.server, exchange.order, exchange.delivery, exchange.deadline_s
             )
+            return ended.map(lambda _: exchange.delivery.take_answer())
         except AnswerDiffers as exc:
             detail = f"the answer of another server differs: {exc}"
             return Failure(
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -298,3 +298,30 @@
         assert attempts <= 100 * 1.08 + 3
 
     run_session(body)
+
+
+def test_shorter_answer_of_a_second_engine_is_no_end():
+    """
+    The caller is never given two halves of different answers as one whole.
+
+    The first engine's agent dies after some words. The second engine answers the
+    same question with fewer words than the caller has got. All of them agree, so
+    that the stream was ended as if it were whole.
+    """
+
+    async def body(session):
+        engines = [FakeEngine(step_s=0.2), FakeEngine(step_s=0.2)]
+        await small_system(session, engines)
+        question = " ".join(str(number) for number in range(20))
+        got, killed = b"", None
+        with pytest.raises(ExchangeBroken):
+            async with session.stream(chat(question, stream=True)) as reply:
+                async for chunk in reply.chunks():
+                    got += chunk
+                    if killed is None and b'"7"' in got:
+                        killed = next(i for i, e in enumerate(engines) if e.running)
+                        engines[1 - killed].most_words = 3
+                        session.kill(f"llm{killed + 1}")
+        assert b"event: error" in got
+
+    run_session(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/fakes.py
@@ -31,6 +31,8 @@
         Told in the load report.
     stalled : bool
         Whether to say nothing more in any answer.
+    most_words : int or None
+        After how many words to end an answer.
     broken : bool
         Whether to answer everything with 503.
     """
@@ -43,6 +45,7 @@
         self.leaving = False
         self.stalled = False
         self.broken = False
+        self.most_words = None
 
     async def __call__(self, request):
         """Answer ``/load`` and chat completions."""
@@ -71,7 +74,7 @@
     async def _words(self, question):
         self.running += 1
         try:
-            for word in question.split():
+            for word in question.split()[: self.most_words]:
                 await sleep(self.step_s)
                 if self.stalled:
                     await Event().wait()
