Dispatch nothing for a caller that has been told not-run

A call that may not be repeated goes on in the background when its caller's patience ends: one whose claim was still being written was dispatched after its caller had been told not-run; one that followed a running attempt of the same key was told not-run; and an error in that work ended the whole entry. Ruled out: cancelling the work at the deadline (a dispatch under way would be cut); may-have-run at each deadline (true, but the caller learns less). Change: at the deadline the work is given up for dispatching, in one step with the answer; the verdict is may-have-run until the claim is known; errors of the work become that one request's refusal. Conclusion: not-run at a deadline is a proof again.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -100,6 +100,8 @@
     ----------
     nodes : dict of str to EntryNode or AgentNode
         By role.
+    registers : RegisterClient or None
+        Of an entry.
     sweep_lease : LeaseKeeper or None
         Of an entry: who holds it deletes old claims.
     """
@@ -121,6 +123,7 @@
             settings.limits,
         )
         self.nodes = {}
+        self.registers = None
         self.sweep_lease = None
         self._leavers = []
         self._routes = []
@@ -190,6 +193,7 @@
         if replica is not None:
             peers[replica.seat] = replica
         registers = RegisterClient(peers, process.rng, process.clock.now)
+        self.registers = registers
         await nursery.start(registers.run)
         bundles = BundleKeeper(
             registers,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/caller.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/caller.py
@@ -1,8 +1,8 @@
 """What callers may ask: which address, and requests for the pipeline."""
 
+from functools import partial
 from itertools import count
 
-from loguru import logger
 from returns.result import Failure
 from trio import Cancelled
 
@@ -11,6 +11,7 @@
 from gooseberryyoke_daemon.entry.delivery import Delivery
 from gooseberryyoke_daemon.entry.exceptions import CallerGone
 from gooseberryyoke_daemon.entry.exchange import Exchange
+from gooseberryyoke_daemon.entry.fault import guarded
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.metrics import METRICS_TYPE
 from gooseberryyoke_daemon.wire import Response, json_response, problem_response
@@ -117,16 +118,14 @@
         self._observer.exchange_ended(exchange, result, self._clock.now())
 
     async def _answer(self, exchange):
+        return await guarded(exchange, partial(self._follow, exchange))
+
+    async def _follow(self, exchange):
         try:
             return await self._pipeline(exchange)
         except CallerGone:
             log_event("caller-gone", request=exchange.number)
             return Failure(_gone(exchange))
-        except Exception as exc:
-            # One faulty request must not end the process that serves the others.
-            logger.opt(exception=exc).error("request {} failed", exchange.number)
-            detail = f"the entry failed on request {exchange.number}"
-            return Failure(Refusal(exchange.verdict, 500, "internal-error", detail))
 
 
 def _leave(exchange):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
@@ -1,6 +1,6 @@
 """Filter: calls that may not be repeated run at most once for each key."""
 
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from returns.result import Failure, Success
 from trio import Event, move_on_at
@@ -15,6 +15,7 @@
     digest_of,
     no_majority,
 )
+from gooseberryyoke_daemon.entry.fault import guarded
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["Claim"]
@@ -55,26 +56,32 @@
         with move_on_at(exchange.deadline_s):
             await work.done.wait()
             return work.result
-        return Failure(_still_running(exchange))
+        return Failure(_give_up(exchange))
 
     async def _work(self, exchange, proceed, work):
         try:
-            work.result = await self._resolve(exchange, proceed)
+            work.result = await guarded(
+                exchange, partial(self._resolve, exchange, proceed)
+            )
         finally:
             if work.result is None:
-                detail = "the entry is stopping, or failed on this request"
-                work.result = Failure(
-                    Refusal(exchange.verdict, 503, "stopping", detail, RETRY_S)
+                refusal = Refusal(
+                    exchange.verdict, 503, "stopping", "the entry stops", RETRY_S
                 )
+                work.result = Failure(refusal)
             work.done.set()
 
     async def _resolve(self, exchange, proceed):
         digest = digest_of(exchange.request)
         for _ in range(_ROUNDS):
+            # Until the claim is known, the same request may be running elsewhere.
+            exchange.claim_version, before = None, exchange.verdict
+            exchange.verdict = Verdict.MAY_HAVE_RUN
             left_s = exchange.left_s(self._clock.now())
             resolved = await self._resolver.resolve(
                 exchange.account.name, exchange.key, digest, left_s
             )
+            exchange.verdict = before
             if isinstance(resolved, Failure):
                 return Failure(no_majority(exchange, resolved.failure()))
             result = await self._follow(resolved.unwrap(), exchange, proceed)
@@ -127,6 +134,16 @@
         self.result = None
 
 
+def _give_up(exchange):
+    # From here on nothing is dispatched: work that went on to its dispatch would
+    # run a call whose caller has just been told that it did not.
+    exchange.given_up = True
+    if exchange.verdict is not Verdict.NOT_RUN:
+        return _still_running(exchange)
+    detail = "the patience of this hour ran out before the dispatch"
+    return Refusal(exchange.verdict, 504, "deadline-passed", detail, RETRY_S)
+
+
 def _still_running(exchange):
     detail = "the outcome is open; ask again with the same Idempotency-Key"
     return Refusal(exchange.verdict, 504, "still-running", detail, RETRY_S)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -46,6 +46,9 @@
 
     async def __call__(self, exchange, proceed):
         """Run the attempt and note its end, however it comes."""
+        if exchange.given_up:
+            detail = "the caller has its final answer already"
+            return Failure(Refusal(exchange.verdict, 504, "deadline-passed", detail))
         server, number = exchange.server.name, exchange.order.attempt
         before, exchange.verdict = exchange.verdict, Verdict.MAY_HAVE_RUN
         now = self._clock.now()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
@@ -33,8 +33,11 @@
         Whether the answer is passed on piece by piece.
     key : str or None
         Idempotency key of a call that may not be repeated.
-    claim_version : int
+    claim_version : int or None
         Version of the register of the key, for the next reservation.
+    given_up : bool
+        Whether the caller has its final answer, so that nothing may be
+        dispatched for it any more.
     deadline_s : float
         Monotonic time by which the whole answer is due.
     demand : Demand
@@ -69,6 +72,7 @@
         "delivery",
         "demand",
         "dispatched_s",
+        "given_up",
         "key",
         "number",
         "order",
@@ -92,7 +96,8 @@
         self.body = {}
         self.wants_stream = False
         self.key = None
-        self.claim_version = 0
+        self.claim_version = None
+        self.given_up = False
         self.deadline_s = float("inf")
         self.demand = None
         self.choice = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
@@ -1,6 +1,8 @@
 from trio import open_nursery, sleep
 
+from gooseberryyoke.claim import claim_key
 from gooseberryyoke_daemon.testing import FakeService, run_session
+from gooseberryyoke_daemon.testing.session import BUNDLE_TEXT
 
 CONFIRM = "/v1/services/meet-app/confirm"
 OTHERS = ("10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4")
@@ -327,3 +329,82 @@
         assert service.runs == {"swimmer-1": 1}
 
     run_session(body)
+
+
+SLOW_S = 0.05
+IMPATIENT = BUNDLE_TEXT.replace(
+    "    repeatable: false\n    default_patience_s: 5",
+    "    repeatable: false\n    default_patience_s: 0.2",
+)
+
+
+def slow_replicas(session):
+    for host in OTHERS[:3]:
+        session.network.set_latency(OTHERS[3], host, SLOW_S)
+
+
+def test_not_run_at_the_deadline_stays_true():
+    """
+    A caller that was told not-run is told the truth, however slow the replicas.
+
+    The patience runs out while the claim is being written. The work went on in
+    the background, wrote the claim and dispatched the call that its caller had
+    been told did not run.
+    """
+
+    async def body(session):
+        service = FakeService()
+        await with_service(session, service)
+        slow_replicas(session)
+        reply = await confirm(session, entry=4)
+        assert (reply.status, reply.verdict) == (504, "not-run")
+        await sleep(2.0)
+        assert not service.runs
+        again = await confirm(session, entry=1)
+        assert (again.status, again.verdict) == (201, "ran")
+        assert service.runs == {"swimmer-1": 1}
+
+    run_session(body, text=IMPATIENT)
+
+
+def test_repeat_of_a_running_call_is_not_told_not_run():
+    """
+    A caller that asks again while its call runs is told may-have-run.
+
+    Its patience runs out while its second request still follows the attempt of
+    the first one, which goes on to its end.
+    """
+
+    async def body(session):
+        service = FakeService(call_s=1.0)
+        await with_service(session, service)
+        for entry in (1, 2):
+            reply = await confirm(session, entry=entry)
+            assert (reply.status, reply.verdict) == (504, "may-have-run")
+        await sleep(2.0)
+        assert service.runs == {"swimmer-1": 1}
+
+    run_session(body, text=IMPATIENT)
+
+
+def test_fault_in_one_claim_does_not_end_the_entry():
+    """
+    One caller gets an error, the others are served as before.
+
+    A register holds a claim that can't be read. The work on it ran outside of
+    what guards a request, so that its error ended the whole process.
+    """
+
+    async def body(session):
+        service = FakeService()
+        await with_service(session, service)
+        registers = session.daemons["e1"].registers
+        key = claim_key("club", "key-1")
+        await registers.write(key, 0, {"no": "claim"}, 5.0)
+        reply = await confirm(session)
+        assert (reply.status, reply.verdict) == (500, "may-have-run")
+        other = await confirm(session, name="swimmer-2", key="key-2")
+        assert (other.status, other.verdict) == (201, "ran")
+        assert service.runs == {"swimmer-2": 1}
+
+    run_session(body)
