Keep one fault from ending an agent or an entry

Cause: found on reading, two of them shown by tests that failed first: an unforeseen error of one attempt ended its agent; a failed disk of the replica ended the entry in the same process with all its callers' connections. Ruled out: a process of its own for the replica (a process starts no other, and the entry instances are few). Change: an attempt's error becomes its abort with may-have-run; a replica whose disk failed ends alone; a bundle register that can't be read lets the lease run out; agents take replies that lack what they can do without. The last two points have no test of their own. Conclusion: what fails in one part stays there.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -118,10 +118,13 @@
         )
 
     def _heard_interest(self, payload):
-        self._table.hear_bundle(payload["bundle_version"])
-        self._table.heard_interest(
-            payload["entry"], payload["attempts"], _INTEREST_PATIENCE_S
-        )
+        # An entry of another release may leave out what this one doesn't need to go
+        # on; while entries and agents are restarted one by one both are about.
+        self._table.hear_bundle(payload.get("bundle_version", 0))
+        if "attempts" in payload:
+            self._table.heard_interest(
+                payload["entry"], payload["attempts"], _INTEREST_PATIENCE_S
+            )
 
     async def _sweep(self):
         while True:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
@@ -1,5 +1,6 @@
 """The attempts of one life of an agent: each taken once, or barred."""
 
+from loguru import logger
 from returns.result import Failure, Success
 from trio import Event
 
@@ -207,7 +208,13 @@
             await self._progress.wait()
 
     async def _run(self, attempt):
-        await self._runner.run(attempt)
+        try:
+            await self._runner.run(attempt)
+        except Exception as exc:
+            # In the agent's nursery it would end all other attempts too.
+            logger.opt(exception=exc).error("attempt {}", attempt.order.attempt)
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "internal-error", repr(exc))
+            attempt.notify()
         attempt.ended_s = self._clock.now()
         self._ledger.finish(attempt.order.attempt, None, attempt.ended_s)
         self._wake()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_table.py
@@ -236,3 +236,29 @@
             assert reason(table.take(order("a1"))) == ("barred", Verdict.NOT_RUN)
 
     mocked(body)
+
+
+def test_fault_in_one_attempt_does_not_end_the_agent():
+    """
+    One caller is told may-have-run; the agent goes on with the others' work.
+
+    The code that carries an attempt to the server raises something unforeseen.
+    It ran in the agent's own nursery, so that the whole agent ended.
+    """
+
+    class FaultyRunner(FakeRunner):
+        async def run(self, attempt):
+            if attempt.order.attempt == "a1":
+                raise RuntimeError("unforeseen")
+            await super().run(attempt)
+
+    async def body():
+        async with open_table(FaultyRunner()) as table:
+            broken = table.take(order("a1")).unwrap()
+            whole = table.take(order("a2")).unwrap()
+            await table.emptied()
+            assert broken.log.last.verdict is Verdict.MAY_HAVE_RUN
+            assert broken.log.last.reason == "internal-error"
+            assert whole.log.last.count == 1
+
+    mocked(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/bundles/keeper.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime
 
+from loguru import logger
 from returns.result import Failure, Success
 from trio import TASK_STATUS_IGNORED, Event, move_on_after
 from trio.to_thread import run_sync
@@ -98,15 +99,23 @@
         task_status.started()
         while True:
             wanted, checked = self._wanted, self._checked
-            with move_on_after(self._check_interval_s) as limit:
-                await self._check()
-            if limit.cancelled_caught:
-                self._end_if_replaced()
+            await self._check_in_time()
             checked.set()
             self._checked = Event()
             with move_on_after(self._check_interval_s):
                 await wanted.wait()
 
+    async def _check_in_time(self):
+        try:
+            with move_on_after(self._check_interval_s) as limit:
+                await self._check()
+            if limit.cancelled_caught:
+                self._end_if_replaced()
+        except Exception as exc:
+            # A register that this release can't read. Without a check the lease
+            # runs out, and the entry names others to its callers instead of ending.
+            logger.opt(exception=exc).error("bundle-check-failed")
+
     async def check_now(self):
         """Look for a newer bundle at once, and wait until that was done."""
         # The check that is under way may have read before the change.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose.py
@@ -12,6 +12,7 @@
 from gooseberryyoke_daemon.entry import EntryNode, Observer
 from gooseberryyoke_daemon.guard import Guard
 from gooseberryyoke_daemon.leases import LeaseKeeper
+from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.operators import Approval, OperatorRoutes
 from gooseberryyoke_daemon.process import Process
 from gooseberryyoke_daemon.registers import HttpPeer, RegisterClient
@@ -19,7 +20,7 @@
 from gooseberryyoke_daemon.security import TlsReloader, load_tls_contexts
 from gooseberryyoke_daemon.security.reload import TlsFiles
 from gooseberryyoke_daemon.settings import load_internal_keys, load_sign_off_keys
-from gooseberryyoke_daemon.storage import FolderDisk
+from gooseberryyoke_daemon.storage import DiskFailed, FolderDisk
 from gooseberryyoke_daemon.wire import Address, HttpServer
 
 __all__ = ["Credentials", "Daemon", "load_credentials"]
@@ -182,9 +183,18 @@
             may_found=settings.replica.may_found,
         )
         self._routes.append(replica.handle)
-        await nursery.start(replica.run)
+        await nursery.start(self._run_replica, replica)
         return replica
 
+    async def _run_replica(self, replica, task_status=TASK_STATUS_IGNORED):
+        try:
+            await replica.run(task_status)
+        except* DiskFailed as group:
+            # The entry in this process goes on with the other replicas; to end it
+            # too would cut its callers' answers for a disk that they don't need.
+            reasons = "; ".join(str(exc) for exc in group.exceptions)
+            log_event("replica-ended", level="error", seat=replica.seat, why=reasons)
+
     async def _start_entry(self, nursery, replica):
         settings, process = self._settings, self._process
         if "entry" not in settings.roles:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_claim_session.py
@@ -408,3 +408,23 @@
         assert service.runs == {"swimmer-2": 1}
 
     run_session(body)
+
+
+def test_failed_disk_of_the_own_replica():
+    """
+    Callers of the entry beside the failed disk see nothing of it.
+
+    Its replica's disk fails on a write. The replica ends; it took the entry in
+    the same process with it, and all connections of its callers.
+    """
+
+    async def body(session):
+        service = FakeService()
+        await with_service(session, service)
+        session.disks["e1"].fail_next = True
+        for number in range(3):
+            reply = await confirm(session, f"swimmer-{number}", f"key-{number}")
+            assert (reply.status, reply.verdict) == (201, "ran")
+        assert service.runs.total() == 3
+
+    run_session(body)
