Take announcements and orders of other releases

Cause: an announcement with a field more or less was refused, so that processes of two releases, side by side while instances are replaced one by one, would not have listed each other. Ruled out: a version number in each message (fields with defaults say as much). Conclusion: a release that adds a field can be rolled.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/attempt.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/attempt.py
@@ -107,10 +107,11 @@
         Raises
         ------
         OrderError
-            If a field is missing, unknown or malformed.
+            If a field is missing or malformed. One that this release doesn't know
+            is left out, as entries of a newer one may be about.
         """
         try:
-            fields = dict(payload)
+            fields = {name: payload[name] for name in cls.__slots__}
             fields["body"] = b64decode(fields["body"], validate=True)
             if fields.get("budget_s", 0) is None:
                 # JSON has no infinity: a patience without end arrives as null.
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
@@ -65,12 +65,21 @@
         Raises
         ------
         AnnouncementError
-            If a field is missing, unknown, of another type or out of range.
+            If a field is missing, of another type or out of range.
+
+        Notes
+        -----
+        Processes are restarted one by one, so that those of two releases meet. A
+        field that this release doesn't know is left out, and one that an older
+        release doesn't send has its default.
         """
-        try:
-            found = cls(**body)
-        except TypeError as exc:
-            raise AnnouncementError(f"{body!r}: {exc}") from exc
+        if not isinstance(body, dict):
+            raise AnnouncementError(f"{body!r:.200} is no JSON object")
+        fields = cls.DEFAULTS | body
+        missing = sorted(cls.KINDS.keys() - fields.keys())
+        if missing:
+            raise AnnouncementError(f"{', '.join(missing)} missing")
+        found = cls(**{name: fields[name] for name in cls.KINDS})
         for name, kind in cls.KINDS.items():
             value = getattr(found, name)
             if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
@@ -153,6 +162,7 @@
         "report_age_s": float,
         "bundle_version": int,
     }
+    DEFAULTS = {"bundle_version": 0}
 
     def __init__(
         self,
@@ -235,6 +245,7 @@
         "bundle_version": int,
         "usage": dict,
     }
+    DEFAULTS = {"usage": {}}
 
     def __init__(
         self,
