Show that an engine's planned stop costs no caller anything

Cause: only agents and entries were stopped in tests, not backend servers. Ruled out: nothing; the path was there. Change: a session in which an engine tells that it is leaving while it streams. Figures: it fails if the agent leaves out what its server says; 1 test. Conclusion: planned stops of all three kinds of process are shown.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -325,3 +325,34 @@
         assert b"event: error" in got
 
     run_session(body)
+
+
+def test_backend_server_that_says_it_is_leaving_gets_no_new_work():
+    """
+    No caller notices that an engine is stopped as planned.
+
+    The engine tells in its load report that it is leaving, while it streams.
+    Within two seconds nothing new reaches it; it ends its stream and stops.
+    """
+
+    async def body(session):
+        engines = [FakeEngine(step_s=0.25), FakeEngine(step_s=0.25)]
+        await small_system(session, engines)
+        question = " ".join(str(number) for number in range(20))
+        got, busy = b"", None
+        async with session.stream(chat(question, stream=True)) as reply:
+            async for chunk in reply.chunks():
+                got += chunk
+                if busy is None:
+                    busy = next(i for i, e in enumerate(engines) if e.running)
+                    engines[busy].leaving = True
+                    await sleep(2.0)
+                    for number in range(6):
+                        reply = await session.draw(f"new {number}", entry=2)
+                        assert reply.status == 200
+        session.kill(f"llm{busy + 1}.server")
+        assert got.count(b"delta") == 20
+        assert engines[busy].runs == {question: 1}
+        assert (await session.draw("after", entry=3)).status == 200
+
+    run_session(body)
