Don't log an answer that was given up as a fault of the entry

Cause: a stream that is cut at its deadline raised from its body like any bug, so that operators found an error with a traceback for each. Ruled out: ending the stream properly (a caller would take it for whole). Change: bodies cut their connection on purpose with BodyCut, counted apart. Conclusion: errors in the logs are errors again.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exceptions.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of the entry."""
 
+from gooseberryyoke_daemon.wire import BodyCut
+
 __all__ = ["AnswerDiffers", "CallerGone", "StreamCut"]
 
 
@@ -11,5 +13,5 @@
     """Nobody reads the answer any more."""
 
 
-class StreamCut(Exception):
+class StreamCut(BodyCut):
     """The answer stops short: the connection is cut so that the caller sees it."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -125,6 +125,11 @@
                 ]
             )
 
+    @property
+    def callers_server(self):
+        """The `HttpServer` of the callers' port; None before `run`."""
+        return self._server
+
     async def leave(self):
         """
         Stop without cutting work.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_session.py
@@ -178,6 +178,9 @@
                     engine.stalled = True
         assert b"event: error" in got
         assert b"[DONE]" not in got
+        # Each was logged as a fault of the entry, with a traceback.
+        counts = session.daemons["e1"].nodes["entry"].callers_server.counts
+        assert (counts["body-cut"], counts["handler-failed"]) == (1, 0)
 
     run_session(body)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
@@ -4,6 +4,7 @@
 from gooseberryyoke_daemon.wire.auth import Signer, Verifier
 from gooseberryyoke_daemon.wire.client import HttpClient, JsonReply, Reply
 from gooseberryyoke_daemon.wire.exceptions import (
+    BodyCut,
     ConnectFailed,
     ExchangeBroken,
     UnsendableRequest,
@@ -23,6 +24,7 @@
 __all__ = [
     "VERDICT_HEADER",
     "Address",
+    "BodyCut",
     "ConnectFailed",
     "ExchangeBroken",
     "HttpClient",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/exceptions.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/exceptions.py
@@ -3,6 +3,7 @@
 from gooseberryyoke.outcome import Verdict
 
 __all__ = [
+    "BodyCut",
     "ConnectFailed",
     "ExchangeBroken",
     "RequestRefused",
@@ -11,6 +12,15 @@
 ]
 
 
+class BodyCut(Exception):
+    """
+    Raised by the body of a response that must not be taken for whole.
+
+    The server cuts the connection, as it does on any error of a body, but counts
+    it as intended: an answer given up at its deadline is no fault of the process.
+    """
+
+
 class WireError(Exception):
     """
     An exchange that brought no whole answer.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
@@ -29,8 +29,8 @@
         Requests that are with the handler now, answers being sent included.
     counts : collections.Counter
         Events since the start by name: ``accepted``, ``requests``,
-        ``peer-gone``, ``handler-failed``, ``slow-reader``, and ``refused-`` with
-        the reason.
+        ``peer-gone``, ``body-cut``, ``handler-failed``, ``slow-reader``, and
+        ``refused-`` with the reason.
     """
 
     def __init__(self, handler, limits=None):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -9,7 +9,7 @@
 
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS, Channel
-from gooseberryyoke_daemon.wire.exceptions import RequestRefused
+from gooseberryyoke_daemon.wire.exceptions import BodyCut, RequestRefused
 from gooseberryyoke_daemon.wire.message import problem_response
 from gooseberryyoke_daemon.wire.reading import read_request, refusal_of
 from gooseberryyoke_daemon.wire.server_channel import ServerChannel
@@ -131,6 +131,9 @@
             await self._send(req, resp)
         except STREAM_ERRORS:
             self._gone = True
+        except BodyCut:
+            self._server.counts["body-cut"] += 1
+            self._gone = True
         except Exception as exc:
             self._note_failure(req, exc)
             self._gone = True
