Name internal paths once; digest a claimed call once

Cause: read-through: the paths of announcements and attempts stood at both of their ends, and a call that may not be repeated was hashed with its whole body by two filters, again for each attempt. Ruled out: importing the entry's paths into the agent (it must not load the entry).

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -9,10 +9,10 @@
 from gooseberryyoke_daemon.agent.table import AttemptTable
 from gooseberryyoke_daemon.announcer import Announcer
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.paths import SERVER_PATH
 
 __all__ = ["AgentNode"]
 
-ANNOUNCE_PATH = "/internal/announcements/server"
 _MAX_RUNNING = 512
 _ANSWER_BYTES = 8 * 1024 * 1024
 _HEAD_TIMEOUT_S = 120.0
@@ -51,7 +51,7 @@
         self._announcer = Announcer(
             process.signed_client,
             settings.entries,
-            ANNOUNCE_PATH,
+            SERVER_PATH,
             self._settings.announce_interval_s,
             self._announcement,
             self._heard_interest,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/routes.py
@@ -10,11 +10,11 @@
 from gooseberryyoke.stream import HeartbeatFrame, encode_frame
 from gooseberryyoke_daemon.agent.attempt import AttemptOrder
 from gooseberryyoke_daemon.agent.exceptions import OrderError
+from gooseberryyoke_daemon.paths import ATTEMPTS_PATH
 from gooseberryyoke_daemon.wire import Response, json_response, problem_response
 
 __all__ = ["AgentRoutes"]
 
-_PREFIX = "/internal/attempts"
 _MOST_DIGITS = 15
 _SHOWN_CHARACTERS = 200
 _FRAMES = (("content-type", "application/x-ndjson"),)
@@ -48,9 +48,9 @@
         Response or None
             None if the path is another part's.
         """
-        if not request.path.startswith(_PREFIX):
+        if not request.path.startswith(ATTEMPTS_PATH):
             return None
-        parts = request.path.removeprefix(_PREFIX).strip("/").split("/")
+        parts = request.path.removeprefix(ATTEMPTS_PATH).strip("/").split("/")
         match request.method, parts:
             case "POST", [""]:
                 return self._start(request)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
@@ -72,14 +72,14 @@
             work.done.set()
 
     async def _resolve(self, exchange, proceed):
-        digest = digest_of(exchange.request)
+        exchange.digest = digest_of(exchange.request)
         for _ in range(_ROUNDS):
             # Until the claim is known, the same request may be running elsewhere.
             exchange.claim_version, before = None, exchange.verdict
             exchange.verdict = Verdict.MAY_HAVE_RUN
             left_s = exchange.left_s(self._clock.now())
             resolved = await self._resolver.resolve(
-                exchange.account.name, exchange.key, digest, left_s
+                exchange.account.name, exchange.key, exchange.digest, left_s
             )
             exchange.verdict = before
             if isinstance(resolved, Failure):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/exchange.py
@@ -35,6 +35,8 @@
         Idempotency key of a call that may not be repeated.
     claim_version : int or None
         Version of the register of the key, for the next reservation.
+    digest : str or None
+        Of a call that may not be repeated, once its claim is looked up.
     given_up : bool
         Whether the caller has its final answer, so that nothing may be
         dispatched for it any more.
@@ -71,6 +73,7 @@
         "deadline_s",
         "delivery",
         "demand",
+        "digest",
         "dispatched_s",
         "given_up",
         "key",
@@ -97,6 +100,7 @@
         self.wants_stream = False
         self.key = None
         self.claim_version = None
+        self.digest = None
         self.given_up = False
         self.deadline_s = float("inf")
         self.demand = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/internal.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/internal.py
@@ -8,12 +8,10 @@
     ServerAnnouncement,
 )
 from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.paths import ENTRY_PATH, SERVER_PATH
 from gooseberryyoke_daemon.wire import json_response, problem_response
 
-__all__ = ["ENTRY_PATH", "SERVER_PATH", "EntryInternalRoutes"]
-
-SERVER_PATH = "/internal/announcements/server"
-ENTRY_PATH = "/internal/announcements/entry"
+__all__ = ["EntryInternalRoutes"]
 
 
 class EntryInternalRoutes:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/remote_attempt.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/remote_attempt.py
@@ -9,11 +9,11 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke.stream import Assembler, FrameError, StreamBroken, decode_frame
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.paths import ATTEMPTS_PATH
 from gooseberryyoke_daemon.wire import ConnectFailed, Request, WireError
 
 __all__ = ["AttemptReference", "RemoteAttempt"]
 
-_PATH = "/internal/attempts"
 _OK = 200
 _BAD_GATEWAY = 502
 _UNAVAILABLE = 503
@@ -87,7 +87,9 @@
         -------
         Result of None, Refusal
         """
-        request = Request("POST", _PATH, [("content-type", "application/json")], body)
+        request = Request(
+            "POST", ATTEMPTS_PATH, [("content-type", "application/json")], body
+        )
         return await self.recover(await self._read(request, fresh=False), deadline_s)
 
     async def recover(self, result, deadline_s):
@@ -135,7 +137,7 @@
 
     @property
     def _path(self):
-        return f"{_PATH}/{self._reference.number}"
+        return f"{ATTEMPTS_PATH}/{self._reference.number}"
 
     async def _ask_after(self):
         log_event("attempt-asked-after", attempt=self._reference.number)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/reserve.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/reserve.py
@@ -7,7 +7,6 @@
 from gooseberryyoke_daemon.entry.claim_support import (
     CONTENDED,
     RETRY_S,
-    digest_of,
     kept_form,
     no_majority,
 )
@@ -49,7 +48,7 @@
         return await self._claims.reserve(
             exchange.account.name,
             exchange.key,
-            digest_of(exchange.request),
+            exchange.digest,
             exchange.order.attempt,
             exchange.server.address,
             str(exchange.order.incarnation),
