--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := gooseberryyoke gooseberryyoke-daemon gooseberryyoke-client
-MANIFESTS := constraints.txt $(PACKAGES:%=packages/%/pyproject.toml)
+MANIFESTS := constraints.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 
 .PHONY: demo test lint format bench bench-capacity proof clean
 
@@ -11,7 +11,7 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt setuptools
 	$(BIN)/pip install --quiet --constraint constraints.txt \
-		$(PACKAGES:%=--editable packages/%) \
+		$(PACKAGES:%=--editable packages/%) --editable platform \
 		hypothesis matplotlib numpy pytest pytest-xdist ruff syrupy
 	touch $@
 
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -0,0 +1,219 @@
+"""The composition root of processes that serve by a route table."""
+
+from functools import partial
+
+from trio import TASK_STATUS_IGNORED, open_nursery, sleep
+
+from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke.seat import SeatMap
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.registers import RegisterClient
+from gooseberryyoke_daemon.seats import SeatPeers
+from gooseberryyoke_daemon.tables import TableStore, TableWatcher
+from gooseberryyoke_daemon.wire import (
+    HttpClient,
+    HttpServer,
+    Limits,
+    Response,
+)
+
+__all__ = ["Gateway", "Control"]
+
+_INTERNAL_BODY_BYTES = 32 * 1024 * 1024
+"""A replica's page or table may be a few times the longest table of operators."""
+_SERVER_CONNECT_S = 0.5
+"""A server whose queue of new connections is full drops the first packet, which is
+sent again only after a second; another server has answered by then."""
+_CONTROL_STOP_S = 0.3
+"""For calls in flight at a control process that ends."""
+
+
+class _Node:
+    """Parts that every role has."""
+
+    def __init__(self, settings, network, rng):
+        self.settings = settings
+        self.network = network
+        self.rng = rng
+        self.contacts = settings.contacts
+        limits = Limits(body_bytes=_INTERNAL_BODY_BYTES, idle_s=30.0, pool_idle_s=10.0)
+        self.client = HttpClient(network, limits)
+        self.seats = SeatMap()
+        if settings.founding:
+            self.seats = SeatMap.of_founders(settings.contacts)
+        self.peers = SeatPeers(self.seats, self.client)
+        self.registers = RegisterClient(self.peers.by_seat(), rng)
+        self.store = TableStore(self.registers)
+        self._limits = limits
+
+    def seats_changed(self):
+        self.registers.set_peers(self.peers.by_seat())
+
+    def use_contacts(self, contacts):
+        """
+        Take the contacts of changed settings.
+
+        Parameters
+        ----------
+        contacts : tuple of str
+        """
+        if tuple(contacts) != self.contacts:
+            log_event("contacts-changed", contacts=list(contacts))
+        self.contacts = tuple(contacts)
+
+    async def serve_internal(self, nursery, handlers):
+        server = HttpServer(partial(_dispatch, handlers), self._limits)
+        listeners = await self.network.listen(self.settings.internal)
+        await nursery.start(server.run, listeners)
+        return server
+
+
+async def _dispatch(handlers, request):
+    for handle in handlers:
+        response = await handle(request)
+        if response is not None:
+            return response
+    return Response(404)
+
+
+class Gateway(_Node):
+    """
+    A process that callers connect to.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    decode : callable
+        Takes a table's text and gives a Result of RouteTable, list of str.
+    names : HeaderNames
+    network : TcpNetwork or MemoryHost
+    rng : random.Random
+    retry_digits : int
+        See `problem_response`.
+
+    Attributes
+    ----------
+    node : GatewayNode
+    """
+
+    def __init__(self, settings, decode, names, network, rng, retry_digits=0):
+        # Here and not above: a control process starts in half the time without
+        # what only gateways need.
+        from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke_daemon.gateway import GatewayNode
+        from gooseberryyoke_daemon.gateway.servers import Servers
+
+        super().__init__(settings.node, network, rng)
+        self._callers = settings.callers
+        self.servers = Servers(settings.node.data_centre, rng)
+        self.watcher = TableWatcher(self.store, decode, self._use_table)
+        server_client = HttpClient(
+            network,
+            Limits(pool_connections=0),
+            keeps_host=True,
+            connect_timeout_s=_SERVER_CONNECT_S,
+        )
+        budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        self.node = GatewayNode(
+            self.watcher, self.servers, server_client, names, rng, budget, retry_digits
+        )
+        self._links = ControlLinks(
+            self.client,
+            lambda: self.contacts,
+            self.seats,
+            self.servers.take,
+            self.seats_changed,
+            self._presence,
+        )
+
+    def _use_table(self, table):
+        self.node.use_limits(table)
+
+    def _presence(self):
+        return {
+            "name": self.settings.name,
+            "address": str(self._callers),
+            "data_centre": self.settings.data_centre,
+            "is_open": self.node.is_open,
+        }
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        async with open_nursery() as nursery:
+            listeners = await self.network.listen(self._callers)
+            await nursery.start(self.node.run, listeners)
+            await nursery.start(self.registers.run)
+            await nursery.start(self._links.run)
+            await nursery.start(self.watcher.run)
+            task_status.started()
+            log_event("started", role="gateway")
+
+    async def stop(self, times):
+        """
+        End without cutting work; the caller then cancels `run`.
+
+        Parameters
+        ----------
+        times : GatewayStop
+        """
+        async with open_nursery() as nursery:
+            nursery.start_soon(self.node.stop, times)
+            await sleep(0)
+            self._links.report_now()
+
+
+class Control(_Node):
+    """
+    A process that servers, operators and gateways report to.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+    network : TcpNetwork or MemoryHost
+    rng : random.Random
+    open_disk : callable
+        Takes a path and gives a FolderDisk or MemoryDisk.
+
+    Attributes
+    ----------
+    node : ControlNode
+    """
+
+    def __init__(self, settings, network, rng, open_disk):
+        from gooseberryyoke_daemon.control.node import ControlNode
+        from gooseberryyoke_daemon.seats.keeper import SeatKeeper
+        from gooseberryyoke_daemon.seats.stored import SeatFile
+
+        super().__init__(settings.node, network, rng)
+        self.keeper = SeatKeeper(
+            str(settings.node.internal),
+            lambda: self.contacts,
+            self.seats,
+            self.peers,
+            self.client,
+            open_disk(f"{settings.data_folder}/registers"),
+            SeatFile(open_disk(f"{settings.data_folder}/seat")),
+            rng,
+            settings.node.founding,
+            self.seats_changed,
+        )
+        self.node = ControlNode(self.keeper, self.store, rng)
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        async with open_nursery() as nursery:
+            await nursery.start(self.registers.run)
+            await self.serve_internal(nursery, [self._serve_replica, self.node.handle])
+            await nursery.start(self.keeper.run)
+            await nursery.start(self.node.run)
+            task_status.started()
+            log_event("started", role="control")
+
+    async def _serve_replica(self, request):
+        replica = self.keeper.replica
+        return None if replica is None else await replica.handle(request)
+
+    async def stop(self):
+        """End calls in flight; the caller then cancels `run`."""
+        self.node.leave()
+        await sleep(_CONTROL_STOP_S)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -0,0 +1,122 @@
+"""The calls by which a process follows every control process."""
+
+import trio
+
+from gooseberryyoke.membership.server_book import ServerEntry
+from gooseberryyoke_daemon.control.node import FOLLOW_PATH
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import Address, WireError
+
+__all__ = ["ControlLinks"]
+
+_CALL_TIMEOUT_S = 1.6
+"""Twice the time for which a control process holds a call."""
+_RETRY_S = 0.25
+_FORGET_S = 20.0
+"""A control process that never answers is asked for so long, unless it is a seed."""
+
+
+class ControlLinks:
+    """
+    Follows all control processes that are known, each by a call of its own.
+
+    Each is followed: a server's farewell is acknowledged by one of them alone, and
+    must be known here soon after.
+
+    Parameters
+    ----------
+    client : HttpClient
+    contacts : callable
+        Gives the addresses of the settings.
+    seats : SeatMap
+    on_servers : callable
+        Takes the list of `ServerEntry` that have changed.
+    on_seats : callable
+        Called when the seats have changed.
+    presence : callable, optional
+        Gives the fields of this process's `EntryPresence`.
+    """
+
+    def __init__(
+        self, client, contacts, seats, on_servers, on_seats, presence=lambda: None
+    ):
+        self._client = client
+        self._contacts = contacts
+        self._seats = seats
+        self._on_servers = on_servers
+        self._on_seats = on_seats
+        self._presence = presence
+        self._scopes = {}
+        self._heard = set()
+        self._wakers = {}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            while True:
+                known = set(self._contacts()) | self._heard
+                known |= {h.address for h in self._seats.holders.values()}
+                for address in known - set(self._scopes):
+                    self._scopes[address] = trio.CancelScope()
+                    nursery.start_soon(self._follow, address)
+                await trio.sleep(_RETRY_S)
+
+    def report_now(self):
+        """Tell all control processes of a changed presence without waiting."""
+        for waker in self._wakers.values():
+            waker.cancel()
+
+    async def _follow(self, address):
+        life, count, is_reached = "", 0, None
+        answered_s = trio.current_time()
+        target = Address.parse(address)
+        while True:
+            payload = {"life": life, "since": count, "may_wait": bool(is_reached)}
+            reply = await self._call(target, payload)
+            if reply is not None:
+                life, count = reply["life"], reply["count"]
+                answered_s = trio.current_time()
+            elif trio.current_time() - answered_s > _FORGET_S:
+                break
+            if (reply is not None) != is_reached:
+                is_reached = reply is not None
+                event = "control-reached" if is_reached else "control-lost"
+                log_event(event, level="warning", address=address)
+            if reply is None:
+                await trio.sleep(_RETRY_S)
+        self._heard.discard(address)
+        del self._scopes[address]
+
+    async def _call(self, target, payload):
+        presence = self._presence()
+        if presence is not None:
+            payload["entry"] = presence
+        with trio.CancelScope() as self._wakers[target]:
+            try:
+                reply = await self._client.json(
+                    "POST",
+                    target,
+                    FOLLOW_PATH,
+                    payload,
+                    timeout_s=_CALL_TIMEOUT_S,
+                    repeatable=True,
+                )
+                self._take(reply.payload)
+                return reply.payload
+            except WireError:
+                return None
+            except (AttributeError, KeyError, TypeError, ValueError) as exc:
+                log_event("reply-unreadable", level="warning", why=str(exc)[:200])
+                return None
+        # Woken to report at once; the next call says what has changed.
+        return await self._call(target, {**payload, "may_wait": False})
+
+    def _take(self, payload):
+        servers = [ServerEntry.from_json(packed) for packed in payload["servers"]]
+        self._heard.update(payload["controls"])
+        if self._seats.merge(payload["seats"]):
+            log_event("seats-changed", seats=self._seats.to_json())
+            self._on_seats()
+        if servers:
+            self._on_servers(servers)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -0,0 +1,167 @@
+"""What a control process knows, and the calls by which entries follow it."""
+
+import orjson
+import trio
+
+from gooseberryyoke.membership.server_book import ServerBook, ServerState
+from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.control.presence import EntryPresence, Presences
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.seats.keeper import SEATS_PATH
+from gooseberryyoke_daemon.wire import json_response, problem_response
+
+__all__ = ["FOLLOW_PATH", "ControlNode"]
+
+FOLLOW_PATH = "/internal/follow"
+
+_WAIT_S = 0.8
+"""How long a follower's call is held when there is nothing new. Entries count as
+gone after three such rounds."""
+_FORGET_S = 60.0
+"""A server not heard of for so long is dropped. Entries use a silent server as long
+as it answers them, so that this is only to bound the memory."""
+_BAD_REQUEST = 400
+
+
+class ControlNode:
+    """
+    Servers and entries as one control process hears of them.
+
+    Parameters
+    ----------
+    keeper : SeatKeeper
+    store : TableStore
+    rng : random.Random
+
+    Attributes
+    ----------
+    servers : ServerBook
+    entries : Presences
+    """
+
+    def __init__(self, keeper, store, rng):
+        self.servers = ServerBook()
+        self.entries = Presences()
+        self.store = store
+        self._keeper = keeper
+        self._life = f"{rng.getrandbits(64):016x}"
+        self._news = trio.Event()
+        self._is_leaving = False
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Forget old servers from time to time, until cancelled."""
+        task_status.started()
+        while True:
+            await trio.sleep(_FORGET_S / 4)
+            for id in self.servers.forget_old(trio.current_time(), _FORGET_S):
+                log_event("server-forgotten", server=id, silent_s=_FORGET_S)
+
+    def leave(self):
+        """Answer every held call at once: the process ends."""
+        self._is_leaving = True
+        self._wake()
+
+    def announce(self, entry):
+        """
+        Take a server's announcement.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+        """
+        known = self.servers.entries.get(entry.id)
+        if not self.servers.take(entry, trio.current_time()):
+            return
+        is_news = known is None or known.state is not entry.state
+        if is_news or known.place != entry.place:
+            log_event(
+                "server-announced",
+                server=entry.id,
+                address=entry.address,
+                state=entry.state.value,
+                born_ms=entry.born_ms,
+                sequence=entry.sequence,
+            )
+        self._wake()
+
+    def end(self, id, born_ms):
+        """
+        Take a server's farewell.
+
+        Parameters
+        ----------
+        id : str
+        born_ms : int or None
+        """
+        if self.servers.end(id, born_ms, trio.current_time()):
+            log_event("server-left", server=id, born_ms=born_ms)
+            self._wake()
+
+    def addresses(self, data_centre):
+        """See `Presences.addresses`."""
+        return self.entries.addresses(data_centre, trio.current_time())
+
+    def _wake(self):
+        self._news.set()
+        self._news = trio.Event()
+
+    async def handle(self, request):
+        """
+        Serve the calls of other processes.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Response or None
+            None if the path is another's.
+        """
+        serve = {FOLLOW_PATH: self._follow, SEATS_PATH: self._greet}.get(request.path)
+        if serve is None:
+            return None
+        try:
+            return json_response(200, await serve(orjson.loads(request.body)))
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            detail = f"{request.path}: {type(exc).__name__} {exc}"[:300]
+            refusal = Refusal(Verdict.NOT_RUN, _BAD_REQUEST, "bad-message", detail)
+            return problem_response(refusal)
+
+    async def _greet(self, payload):
+        return self._keeper.hear(payload["address"], payload)
+
+    async def _follow(self, payload):
+        since = payload["since"] if payload["life"] == self._life else 0
+        presence = payload.get("entry")
+        name = None
+        if presence is not None:
+            presence = EntryPresence(**presence)
+            name = presence.name
+            if self.entries.hear(presence, trio.current_time()):
+                log_event("entry-reported", entry=name, is_open=presence.is_open)
+        try:
+            if self.servers.count <= since and payload["may_wait"]:
+                await self._wait_for_news()
+        except trio.Cancelled:
+            if name is not None:
+                self.entries.broke_off(name, trio.current_time())
+            raise
+        changed = self.servers.since(since)
+        return {
+            "life": self._life,
+            "count": self.servers.count,
+            "servers": [entry.to_json() for entry in changed],
+            **self._keeper.say(),
+        }
+
+    async def _wait_for_news(self):
+        if self._is_leaving:
+            return
+        with trio.move_on_after(_WAIT_S):
+            await self._news.wait()
+
+    def count_ready(self):
+        """Count the servers that take work."""
+        entries = self.servers.entries.values()
+        return sum(entry.state is ServerState.READY for entry in entries)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
@@ -0,0 +1,99 @@
+"""The entries that a control process hears of, and which to name to callers."""
+
+from gooseberryyoke.record import Record
+
+__all__ = ["EntryPresence", "Presences"]
+
+_SILENT_S = 2.5
+"""Three of the rounds in which an entry reports."""
+_BROKEN_S = 0.7
+"""After its report broke off: an entry that lives calls again within 0.3 s."""
+
+
+class EntryPresence(Record):
+    """
+    An entry as it reports itself.
+
+    Parameters
+    ----------
+    name : str
+    address : str
+        Where callers connect.
+    data_centre : str
+    is_open : bool
+        Takes new callers.
+    """
+
+    __slots__ = ("name", "address", "data_centre", "is_open")
+
+    def __init__(self, name, address, data_centre, is_open):
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.is_open = is_open
+
+
+class Presences:
+    """Entries by name, with the time until which each counts as there."""
+
+    __slots__ = ("_entries", "_until_s")
+
+    def __init__(self):
+        self._entries = {}
+        self._until_s = {}
+
+    def hear(self, presence, now):
+        """
+        Note a report.
+
+        Parameters
+        ----------
+        presence : EntryPresence
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        bool
+            Whether it says something new.
+        """
+        before = self._entries.get(presence.name)
+        self._entries[presence.name] = presence
+        self._until_s[presence.name] = now + _SILENT_S
+        return before != presence
+
+    def broke_off(self, name, now):
+        """
+        Note that a report's connection ended, as it does when a process dies.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+            In seconds.
+        """
+        if name in self._until_s:
+            self._until_s[name] = min(self._until_s[name], now + _BROKEN_S)
+
+    def addresses(self, data_centre, now):
+        """
+        List where callers may connect.
+
+        Parameters
+        ----------
+        data_centre : str
+            Of the caller; its entries come first.
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        there = [
+            entry
+            for name, entry in self._entries.items()
+            if entry.is_open and self._until_s[name] > now
+        ]
+        there.sort(key=lambda entry: (entry.data_centre != data_centre, entry.name))
+        return [entry.address for entry in there]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -23,7 +23,6 @@
 from gooseberryyoke_daemon.entry.in_flight import InFlight
 from gooseberryyoke_daemon.entry.internal import EntryInternalRoutes
 from gooseberryyoke_daemon.entry.link import AgentLink
-from gooseberryyoke_daemon.entry.pipeline import Pipeline
 from gooseberryyoke_daemon.entry.renew import Renew
 from gooseberryyoke_daemon.entry.reserve import Reserve
 from gooseberryyoke_daemon.entry.retry import Retry
@@ -31,6 +30,7 @@
 from gooseberryyoke_daemon.entry.status import Status
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import ENTRY_PATH
+from gooseberryyoke_daemon.pipeline import Pipeline
 from gooseberryyoke_daemon.wire import HttpServer
 
 __all__ = ["EntryNode"]
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -0,0 +1,240 @@
+"""One attempt of a request at one server."""
+
+from contextlib import AsyncExitStack
+from math import floor
+
+import trio
+
+from gooseberryyoke.outcome import Verdict
+from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.gateway.headers import end_to_end, without
+from gooseberryyoke_daemon.wire import Request, WireError
+
+__all__ = ["Call", "CallFailed", "ServerCalls"]
+
+_MISDIRECTED = 421
+_OWN_REFUSALS = (429, 503)
+_BAD_REQUEST = 400
+
+
+class CallFailed(Exception):
+    """
+    An attempt that brought no answer to pass on.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Whether the server may have run the request.
+    reason : str
+        Short code in kebab case.
+    detail : str
+    """
+
+    def __init__(self, verdict, reason, detail):
+        super().__init__(f"{reason}: {detail}")
+        self.verdict = verdict
+        self.reason = reason
+        self.detail = detail
+
+
+class Head(Record):
+    """Status and headers of a server's answer."""
+
+    __slots__ = ("status", "headers")
+
+    def __init__(self, status, headers):
+        self.status = status
+        self.headers = headers
+
+
+class Call:
+    """
+    An attempt whose answer has begun.
+
+    Attributes
+    ----------
+    server : Server
+    head : Head
+    """
+
+    __slots__ = ("server", "head", "_stack", "_reply", "_chunks")
+
+    def __init__(self, server, stack, reply):
+        self.server = server
+        self.head = Head(reply.status, end_to_end(reply.headers))
+        self._stack = stack
+        self._reply = reply
+        self._chunks = reply.chunks()
+
+    def header(self, name):
+        """Give the value of a header of the answer, or None."""
+        return self._reply.header(name)
+
+    async def next_chunk(self, timeout_s):
+        """
+        Wait for more of the body.
+
+        Parameters
+        ----------
+        timeout_s : float
+
+        Returns
+        -------
+        bytes or None
+            None at the end of the body.
+
+        Raises
+        ------
+        CallFailed
+        """
+        with trio.move_on_after(timeout_s):
+            try:
+                return await anext(self._chunks, None)
+            except WireError as exc:
+                detail = str(exc)
+                raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail) from exc
+        detail = f"no more of the answer within {timeout_s:.2f} s"
+        raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-stalled", detail)
+
+    async def read(self, deadline_s):
+        """
+        Read the whole body.
+
+        Parameters
+        ----------
+        deadline_s : float
+            On trio's clock.
+
+        Returns
+        -------
+        bytes
+
+        Raises
+        ------
+        CallFailed
+        """
+        body = bytearray()
+        while chunk := await self.next_chunk(deadline_s - trio.current_time()):
+            body += chunk
+        return bytes(body)
+
+    async def close(self):
+        """End the attempt; a server that still works on it stops."""
+        self.server.load.own -= 1
+        with trio.CancelScope(shield=True):
+            await self._chunks.aclose()
+            await self._stack.aclose()
+
+
+class ServerCalls:
+    """
+    Sends requests to servers.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Keeps no connections. A server may send a second answer after a whole one;
+        on a kept connection it would come where the next request's answer is
+        expected. A connection for each attempt rules that out; it costs a
+        round trip.
+    names : HeaderNames
+    """
+
+    __slots__ = ("_client", "_names")
+
+    def __init__(self, client, names):
+        self._client = client
+        self._names = names
+
+    async def open(self, exchange, server, until_s, last_event_id=None):
+        """
+        Send a request and wait for the head of the answer.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        server : Server
+        until_s : float
+            When to give up, on trio's clock.
+        last_event_id : str, optional
+            Where a stream goes on.
+
+        Returns
+        -------
+        Call
+
+        Raises
+        ------
+        CallFailed
+        """
+        now = trio.current_time()
+        req = self._request(exchange, server, now, last_event_id)
+        stack = AsyncExitStack()
+        server.load.own += 1
+        try:
+            opened = self._client.open(server.address, req, until_s - now, fresh=True)
+            reply = await stack.enter_async_context(opened)
+        except WireError as exc:
+            server.load.own -= 1
+            reason = "no-answer"
+            if exc.verdict is Verdict.NOT_RUN:
+                reason = "not-connected"
+            raise CallFailed(exc.verdict, reason, str(exc)) from exc
+        except BaseException:
+            server.load.own -= 1
+            raise
+        call = Call(server, stack, reply)
+        try:
+            self._check(exchange, server, call)
+        except CallFailed:
+            await call.close()
+            raise
+        return call
+
+    def _request(self, exchange, server, now, last_event_id):
+        names, req = self._names, exchange.request
+        headers = without(
+            end_to_end(req.headers),
+            "authorization",
+            names.account,
+            names.expected_server,
+            names.deadline_ms,
+        )
+        left_ms = max(1, floor((exchange.deadline_s - now) * 1000))
+        headers.append((names.deadline_ms, str(left_ms)))
+        headers.append((names.expected_server, server.entry.id))
+        if exchange.account is not None:
+            headers.append((names.account, exchange.account.name))
+        if last_event_id is not None:
+            headers = without(headers, "last-event-id")
+            headers.append(("last-event-id", last_event_id))
+        return Request(req.method, req.target, headers, req.body)
+
+    def _check(self, exchange, server, call):
+        self._note_load(server, call)
+        echoed = call.header(self._names.attempt_id)
+        if echoed is not None and echoed != exchange.number:
+            # Another request's answer must not reach this caller.
+            detail = f"answer to {echoed}, expected one to {exchange.number}"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "crossed-answer", detail)
+        status = call.head.status
+        if call.header(self._names.not_run) is not None and status >= _BAD_REQUEST:
+            raise CallFailed(Verdict.NOT_RUN, "server-refused", f"status {status}")
+        if status == _MISDIRECTED:
+            raise CallFailed(Verdict.NOT_RUN, "other-server", f"status {status}")
+        if status in _OWN_REFUSALS:
+            # Towards callers these promise that nothing has run, which this server
+            # has not said.
+            detail = f"status {status} without a promise"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "server-failed", detail)
+
+    def _note_load(self, server, call):
+        text = call.header(self._names.load)
+        if text is None:
+            return
+        try:
+            running, waiting, _ = (int(part) for part in text.split(","))
+        except ValueError:
+            # The server's word on its load is a hint; the answer still counts.
+            return
+        server.load.tell(running, waiting, trio.current_time())
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -0,0 +1,56 @@
+"""One request on its way through the gateway."""
+
+__all__ = ["Exchange"]
+
+
+class Exchange:
+    """
+    What the filters learn of a request.
+
+    Parameters
+    ----------
+    request : Request
+    number : str
+        The caller's id of the attempt, for logs.
+    received_s : float
+        On trio's clock.
+
+    Attributes
+    ----------
+    table, route, account : RouteTable, Route, ClientAccount or None
+    deadline_s : float
+        When the final answer is due.
+    service : str
+    tried : set of str
+        Ids of servers that it was sent to.
+    sends : int
+    verdict : Verdict
+        Of all attempts so far.
+    """
+
+    __slots__ = (
+        "request",
+        "number",
+        "received_s",
+        "table",
+        "route",
+        "account",
+        "deadline_s",
+        "service",
+        "tried",
+        "sends",
+        "verdict",
+    )
+
+    def __init__(self, request, number, received_s):
+        self.request = request
+        self.number = number
+        self.received_s = received_s
+        self.table = None
+        self.route = None
+        self.account = None
+        self.deadline_s = None
+        self.service = None
+        self.tried = set()
+        self.sends = 0
+        self.verdict = None
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/headers.py
@@ -0,0 +1,128 @@
+"""Headers between callers, gateways and backend servers."""
+
+from gooseberryyoke.record import Record
+
+__all__ = ["HeaderNames", "end_to_end", "joined", "without"]
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_FRAMING = frozenset(("content-length", "expect"))
+
+
+class HeaderNames(Record):
+    """
+    The names that a deployment uses, in lower case.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Identity of one attempt of a caller; servers echo it.
+    deadline_ms : str
+        How long the caller waits from now, in ms.
+    signature : str
+        The server's proof of its answer.
+    account : str
+        The client account that a gateway found; never taken from callers.
+    expected_server : str
+        Id of the server that a request is meant for; others refuse it.
+    load : str
+        A server's running and waiting requests and its slots, by commas.
+    not_run : str
+        Says that the server has not run the request.
+    """
+
+    __slots__ = (
+        "attempt_id",
+        "deadline_ms",
+        "signature",
+        "account",
+        "expected_server",
+        "load",
+        "not_run",
+    )
+
+    def __init__(
+        self,
+        attempt_id="gooseberryyoke-attempt",
+        deadline_ms="gooseberryyoke-deadline-ms",
+        signature="gooseberryyoke-signature",
+        account="gooseberryyoke-account",
+        expected_server="gooseberryyoke-expected-server",
+        load="gooseberryyoke-load",
+        not_run="gooseberryyoke-not-run",
+    ):
+        self.attempt_id = attempt_id
+        self.deadline_ms = deadline_ms
+        self.signature = signature
+        self.account = account
+        self.expected_server = expected_server
+        self.load = load
+        self.not_run = not_run
+
+
+def end_to_end(headers):
+    """
+    Leave out what concerns one connection only.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+        Pairs with lower-case names.
+
+    Returns
+    -------
+    list of (str, str)
+    """
+    headers = list(headers)
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    dropped = _HOP_BY_HOP | _FRAMING | named
+    return [pair for pair in headers if pair[0] not in dropped]
+
+
+def without(headers, *names):
+    """
+    Leave out headers by name.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+    *names : str
+
+    Returns
+    -------
+    list of (str, str)
+    """
+    return [pair for pair in headers if pair[0] not in names]
+
+
+def joined(headers, name):
+    """
+    Join the values of a header that may be repeated.
+
+    Parameters
+    ----------
+    headers : iterable of (str, str)
+    name : str
+
+    Returns
+    -------
+    str or None
+    """
+    values = [value for key, value in headers if key == name]
+    return ", ".join(values) if values else None
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -0,0 +1,157 @@
+"""The gateway: from a caller's request to its final answer."""
+
+from math import ceil
+
+import trio
+from returns.result import Failure
+
+from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke_daemon.gateway.call import ServerCalls
+from gooseberryyoke_daemon.gateway.exchange import Exchange
+from gooseberryyoke_daemon.gateway.identify import Identify
+from gooseberryyoke_daemon.gateway.relay import Relay
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.pipeline import Pipeline
+from gooseberryyoke_daemon.wire import HttpServer, Limits, problem_response
+
+__all__ = ["GatewayNode", "GatewayStop"]
+
+_IDLE_MARGIN = 2.0
+"""Idle connections stay open for this many times what callers count on, so that no
+request crosses the closing of its connection."""
+_GRACE_S = 1.0
+
+
+class GatewayStop:
+    """
+    The times of a planned stop, in seconds from its beginning.
+
+    Parameters
+    ----------
+    accept_s : float
+        For which new connections are taken: callers that were told of this entry
+        before the stop still come.
+    end_s : float
+        After which what is still in flight is given up.
+    """
+
+    __slots__ = ("accept_s", "end_s")
+
+    def __init__(self, accept_s, end_s):
+        self.accept_s = accept_s
+        self.end_s = end_s
+
+
+class GatewayNode:
+    """
+    Serves callers by the route table in force.
+
+    Parameters
+    ----------
+    watcher : TableWatcher
+    servers : Servers
+    client : HttpClient
+        For servers; keeps no connections and leaves the host as it is.
+    names : HeaderNames
+    rng : random.Random
+    budget : RetryBudget, optional
+    retry_digits : int
+        See `problem_response`.
+    """
+
+    def __init__(
+        self, watcher, servers, client, names, rng, budget=None, retry_digits=0
+    ):
+        self._retry_digits = retry_digits
+        self._watcher = watcher
+        self._servers = servers
+        self._names = names
+        budget = budget or RetryBudget()
+        self._pipeline = Pipeline(
+            [
+                Identify(lambda: watcher.table, names, rng),
+                Relay(servers, ServerCalls(client, names), budget),
+            ]
+        )
+        self._server = HttpServer(self.handle, Limits())
+        self.is_leaving = False
+
+    @property
+    def is_open(self):
+        """Whether new callers can be served."""
+        return (
+            not self.is_leaving
+            and self._watcher.table is not None
+            and self._servers.has_any()
+        )
+
+    async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve callers until stopped."""
+        await self._server.run(listeners, task_status=task_status)
+
+    def use_limits(self, table):
+        """
+        Take the limits on callers of a table.
+
+        Parameters
+        ----------
+        table : RouteTable
+        """
+        limits = table.limits
+        self._server.limits.head_bytes = limits.head_bytes
+        self._server.limits.body_bytes = limits.body_bytes
+        self._server.limits.slow_sender_s = limits.head_s
+        self._server.limits.idle_s = limits.idle_s * _IDLE_MARGIN
+
+    async def stop(self, times):
+        """
+        End without cutting work.
+
+        Parameters
+        ----------
+        times : GatewayStop
+        """
+        start_s = trio.current_time()
+        log_event("stop-began", in_flight=self._server.exchanges)
+        self.is_leaving = True
+        self._server.drain()
+        await trio.sleep(times.accept_s)
+        self._server.limits.grace_s = _GRACE_S
+        self._server.stop_accepting()
+        with trio.move_on_at(start_s + times.end_s):
+            await trio.sleep(_GRACE_S)
+            while self._server.exchanges:
+                await trio.sleep(0.02)
+        log_event("stop-ended", in_flight=self._server.exchanges)
+
+    async def handle(self, request):
+        """
+        Answer one request of a caller.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Response
+        """
+        number = request.header(self._names.attempt_id, "")
+        exchange = Exchange(request, number, trio.current_time())
+        result = await self._pipeline(exchange)
+        if not isinstance(result, Failure):
+            return result.unwrap()
+        refusal = result.failure()
+        log_event(
+            "request-refused",
+            request=number,
+            status=refusal.status,
+            reason=refusal.reason,
+            verdict=refusal.verdict.value,
+            detail=refusal.detail,
+            service=exchange.service,
+            table=None if exchange.table is None else exchange.table.version,
+            after_ms=ceil((trio.current_time() - exchange.received_s) * 1000),
+        )
+        echo = [(self._names.attempt_id, number)] if number else []
+        return problem_response(refusal, echo, self._retry_digits)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -0,0 +1,199 @@
+"""Filter: attempts at servers until one answers, and the way of the answer back."""
+
+import trio
+from returns.result import Failure, Success
+
+from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke.retry import RetryDecision
+from gooseberryyoke.routing import RouteKind
+from gooseberryyoke_daemon.gateway.call import CallFailed
+from gooseberryyoke_daemon.gateway.stream import StreamRelay
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import Response
+
+__all__ = ["Relay"]
+
+_INTERNAL_ERROR = 500
+_NO_ROOM_RETRY_S = 0.25
+_NO_SERVER_RETRY_S = 0.5
+_REROUTES = 3
+"""Attempts that never reached a server, for one request: connections refused by
+servers that have just ended. More of them mean that the list of servers is stale."""
+_IDEMPOTENT_SHARE = 0.5
+"""Part of the time left that a first attempt may take, if a second one may follow."""
+
+
+class Relay:
+    """
+    Has a request answered by one of its service's servers.
+
+    Parameters
+    ----------
+    servers : Servers
+    calls : ServerCalls
+    budget : RetryBudget
+        Of second attempts, which would otherwise multiply the load of servers that
+        are sick.
+    """
+
+    __slots__ = ("_servers", "_calls", "_budget")
+
+    def __init__(self, servers, calls, budget):
+        self._servers = servers
+        self._calls = calls
+        self._budget = budget
+
+    async def __call__(self, exchange, proceed):
+        """Make attempts; the last filter, so that nothing follows."""
+        self._budget.request_started()
+        exchange.verdict = Verdict.NOT_RUN
+        unsent = 0
+        while True:
+            server = self._servers.choose(exchange.service, exchange.tried)
+            if server is None:
+                return Failure(self._no_server(exchange))
+            try:
+                return Success(await self._attempt(exchange, server))
+            except CallFailed as exc:
+                sent = exc.reason != "not-connected"
+                unsent += not sent
+                refusal = self._after(exchange, server, exc, unsent)
+            if refusal is not None:
+                return Failure(refusal)
+
+    async def _attempt(self, exchange, server):
+        exchange.tried.add(server.entry.id)
+        exchange.sends += 1
+        call = await self._calls.open(exchange, server, self._until_s(exchange))
+        try:
+            return await self._answer(exchange, call)
+        except BaseException:
+            await call.close()
+            raise
+
+    def _until_s(self, exchange):
+        """Give a first attempt a part of the time if another may follow."""
+        route, now = exchange.route, trio.current_time()
+        may_follow = route.may_repeat and exchange.sends < route.max_attempts
+        if route.kind is RouteKind.IDEMPOTENT and may_follow:
+            return now + (exchange.deadline_s - now) * _IDEMPOTENT_SHARE
+        return exchange.deadline_s
+
+    async def _answer(self, exchange, call):
+        head = call.head
+        kind = call.header("content-type") or ""
+        if head.status == 200 and kind.startswith("text/event-stream"):
+            relay = StreamRelay(self, exchange, call)
+            await relay.start()
+            return Response(head.status, head.headers, relay.events())
+        body = await call.read(self._until_s(exchange))
+        if head.status >= _INTERNAL_ERROR and self._may_ask_another(exchange):
+            detail = f"status {head.status}"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "server-error", detail)
+        call.server.health.succeeded()
+        await call.close()
+        return Response(head.status, head.headers, body)
+
+    def _may_ask_another(self, exchange):
+        route = exchange.route
+        if not route.may_repeat or exchange.sends >= route.max_attempts:
+            return False
+        others = self._servers.choose(exchange.service, exchange.tried)
+        return others is not None and self._budget.balance >= 1.0
+
+    async def resume(self, exchange, last_event_id):
+        """
+        Go on with a broken stream at another server.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        last_event_id : str or None
+            Of the last whole event that was passed on.
+
+        Returns
+        -------
+        Call or None
+            None if that may not be, or failed.
+        """
+        server = self._servers.choose(exchange.service, exchange.tried)
+        if server is None or not self._may_try_again(exchange):
+            return None
+        exchange.tried.add(server.entry.id)
+        exchange.sends += 1
+        log_event(
+            "stream-resumed",
+            request=exchange.number,
+            server=server.entry.id,
+            after_event=last_event_id,
+        )
+        try:
+            return await self._calls.open(
+                exchange, server, exchange.deadline_s, last_event_id
+            )
+        except CallFailed as exc:
+            self.note_broken(exchange, server, exc)
+            return None
+
+    def _may_try_again(self, exchange):
+        if exchange.sends >= exchange.route.max_attempts:
+            return False
+        now = trio.current_time()
+        decision = self._budget.may_retry(
+            exchange.verdict, exchange.route.may_repeat, exchange.deadline_s, 0.0, now
+        )
+        return decision is RetryDecision.RETRY
+
+    def _after(self, exchange, server, exc, unsent):
+        """Decide what follows a failed attempt: None for another one."""
+        self.note_broken(exchange, server, exc)
+        if exc.reason == "not-connected":
+            exchange.sends -= 1
+            if unsent <= _REROUTES and trio.current_time() < exchange.deadline_s:
+                return None
+        elif self._may_try_again(exchange):
+            return None
+        return self._give_up(exchange, exc)
+
+    def note_broken(self, exchange, server, exc):
+        """
+        Note that a server failed an attempt.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        server : Server
+        exc : CallFailed
+        """
+        exchange.verdict = exchange.verdict.then(exc.verdict)
+        now = trio.current_time()
+        if exc.reason == "server-refused":
+            server.health.was_full(now)
+        elif exc.reason != "server-error":
+            server.health.failed(now)
+        log_event(
+            "attempt-failed",
+            level="warning",
+            request=exchange.number,
+            server=server.entry.id,
+            reason=exc.reason,
+            detail=exc.detail,
+            verdict=exc.verdict.value,
+            after_ms=round((now - exchange.received_s) * 1000),
+        )
+
+    def _give_up(self, exchange, exc):
+        if exchange.verdict is Verdict.NOT_RUN:
+            detail = f"{exchange.sends} servers asked: {exc.reason}"
+            return Refusal(Verdict.NOT_RUN, 503, "no-room", detail, _NO_ROOM_RETRY_S)
+        is_late = trio.current_time() >= exchange.deadline_s
+        status = 504 if is_late else 502
+        return Refusal(exchange.verdict, status, exc.reason, exc.detail)
+
+    def _no_server(self, exchange):
+        detail = f"no server of {exchange.service} left to ask"
+        if exchange.verdict is Verdict.NOT_RUN:
+            return Refusal(
+                Verdict.NOT_RUN, 503, "no-server", detail, _NO_SERVER_RETRY_S
+            )
+        return Refusal(exchange.verdict, 502, "no-server", detail)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -0,0 +1,377 @@
+import pytest
+import trio
+
+from gooseberryyoke.membership.server_book import ServerState
+from gooseberryyoke_daemon.gateway.node import GatewayStop
+from gooseberryyoke_daemon.testing.routed import (
+    GATEWAY,
+    NAMES,
+    run_routed,
+    sample_table,
+)
+from gooseberryyoke_daemon.wire import Address, ExchangeBroken, Response
+
+SIGNATURE = (NAMES.signature, "sig")
+EVENTS = ("content-type", "text/event-stream")
+
+
+def event(number):
+    return b"id: %d\ndata: x%d\n\n" % (number, number)
+
+
+def whole(body=b"done", status=200, **headers):
+    async def answer(request):
+        fields = [SIGNATURE, *[(k.replace("_", "-"), v) for k, v in headers.items()]]
+        echo = (NAMES.attempt_id, request.header(NAMES.attempt_id))
+        return Response(status, [*fields, echo], body)
+
+    return answer
+
+
+def stream(first, last, pause_s=0.02, cut_after=None, part=b""):
+    """Give events; after ``cut_after`` send a part of the next one and reset."""
+
+    async def answer(request):
+        async def events():
+            start = int(request.header("last-event-id") or first - 1) + 1
+            for number in range(start, last + 1):
+                if cut_after is not None and number > cut_after:
+                    if part:
+                        yield part
+                    raise ConnectionError("the engine crashes")
+                await trio.sleep(pause_s)
+                yield event(number)
+
+        return Response(200, [SIGNATURE, EVENTS], events())
+
+    return answer
+
+
+def refusing(status=503):
+    async def answer(request):
+        return Response(status, [(NAMES.not_run, "1")], b"")
+
+    return answer
+
+
+def raw(data, then_wait_s=0.0):
+    async def handler(stream):
+        async with stream:
+            await stream.receive_some(65536)
+            await stream.send_all(data)
+            await trio.sleep(then_wait_s)
+
+    return handler
+
+
+def test_an_answer_passes_unchanged_and_the_server_gets_what_it_needs():
+    async def main(session):
+        server = await session.add("i-1", whole(b"lanes", content_encoding="x"))
+        reply = await session.ask(
+            "/read/a%2Fb?q=1",
+            headers=[(NAMES.account, "forged"), ("x-own", "7"), ("te", "trailers")],
+        )
+        assert (reply.status, reply.body) == (200, b"lanes")
+        assert reply.header(NAMES.signature) == "sig"
+        assert reply.header("content-encoding") == "x"
+        sent = server.requests[0]
+        assert (sent.method, sent.target, sent.body) == (
+            "POST",
+            "/read/a%2Fb?q=1",
+            b"body",
+        )
+        assert sent.header("host") == "h.example"
+        assert sent.header(NAMES.account) == "deck"
+        assert sent.header(NAMES.expected_server) == "i-1"
+        assert sent.header("x-own") == "7"
+        assert sent.header("authorization") is None
+        assert sent.header("te") is None
+        assert 1000 <= int(sent.header(NAMES.deadline_ms)) <= 1200
+
+    run_routed(main)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/read/x", "wrong", 401),
+        ("/read/x", None, 401),
+        ("/none/x", "deck-key", 404),
+        ("/read", "deck-key", 404),
+    ],
+)
+def test_what_the_table_does_not_allow_reaches_no_server(path, key, status):
+    async def main(session):
+        server = await session.add("i-1", whole())
+        reply = await session.ask(path, key=key)
+        assert reply.status == status
+        assert reply.header("gooseberryyoke-verdict") == "not-run"
+        assert server.requests == []
+
+    run_routed(main)
+
+
+def test_before_the_first_table_callers_are_told_to_come_back():
+    # A gateway that has just started can't tell whether a route exists: with 404
+    # the caller would give up on a request that any other gateway serves.
+    async def main(session):
+        session.watcher.table = None
+        reply = await session.ask("/read/x")
+        assert reply.status == 503
+        assert float(reply.header("retry-after")) > 0
+        assert not session.node.is_open
+
+    run_routed(main)
+
+
+def test_a_public_route_needs_no_key_and_names_no_account():
+    async def main(session):
+        server = await session.add("i-1", whole())
+        assert (await session.ask("/read/x", key=None)).status == 200
+        assert server.requests[0].header(NAMES.account) is None
+
+    run_routed(main, sample_table(is_public=True))
+
+
+def test_a_request_that_no_server_has_run_is_sent_to_another_one():
+    async def main(session):
+        first = await session.add("i-1", refusing())
+        second = await session.add("i-2", whole())
+        first_load, second_load = (s.load for s in session.servers.of_service("s"))
+        first_load.own, second_load.own = 0, 3
+        reply = await session.ask("/read/x")
+        assert reply.status == 200
+        assert len(first.requests) == len(second.requests) == 1
+
+    run_routed(main)
+
+
+def test_a_request_whose_server_may_have_run_it_is_not_run_again():
+    # The server takes a booking and its connection breaks. A second run would book
+    # twice, and "not run" would make the caller do so.
+    async def main(session):
+        broken = raw(b"", 0.01)
+        await session.add("i-1", None, handler=broken)
+        other = await session.add("i-2", whole())
+        session.servers.of_service("s")[1].load.own = 5
+        reply = await session.ask("/book/x")
+        assert reply.status == 502
+        assert reply.header("gooseberryyoke-verdict") == "may-have-run"
+        assert other.requests == []
+
+    run_routed(main)
+
+
+def test_an_idempotent_request_is_asked_once_more_after_an_error():
+    async def main(session):
+        first = await session.add("i-1", whole(b"oops", 500))
+        second = await session.add("i-2", whole(b"fine"))
+        session.servers.of_service("s")[1].load.own = 5
+        assert (await session.ask("/read/x")).body == b"fine"
+        assert len(first.requests) == len(second.requests) == 1
+
+    run_routed(main)
+
+
+def test_the_last_server_s_error_is_passed_on_as_it_is():
+    async def main(session):
+        await session.add("i-1", whole(b"oops", 500))
+        reply = await session.ask("/book/x")
+        assert (reply.status, reply.body) == (500, b"oops")
+        assert reply.header(NAMES.signature) == "sig"
+
+    run_routed(main)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort",
+        b"no answer at all\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 200 OK\r\ngooseberryyoke-attempt: other\r\n"
+        b"content-length: 2\r\n\r\nok",
+        b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n",
+    ],
+)
+def test_a_spoilt_answer_never_reaches_the_caller_as_whole(data):
+    async def main(session):
+        await session.add("i-1", None, handler=raw(data))
+        reply = await session.ask("/book/x")
+        assert reply.status == 502
+        assert reply.header("gooseberryyoke-verdict") == "may-have-run"
+
+    run_routed(main)
+
+
+def test_bytes_after_a_whole_answer_belong_to_nobody():
+    async def main(session):
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+        await session.add("i-1", None, handler=raw(answer + answer))
+        assert (await session.ask("/read/x")).body == b"ok"
+        assert (await session.ask("/read/x")).body == b"ok"
+
+    run_routed(main)
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    async def main(session):
+        await session.add("i-1", None, handler=raw(b"HTTP/1.1 200 OK\r\n\r\nall"))
+        reply = await session.ask("/read/x")
+        assert (reply.status, reply.body) == (200, b"all")
+
+    run_routed(main)
+
+
+def test_a_stream_goes_on_at_another_server_where_it_broke():
+    # The engine crashes within its fourth event. The caller sees one answer with the
+    # first engine's headers, each event once and whole.
+    async def main(session):
+        first = await session.add(
+            "i-1", stream(1, 9, cut_after=3, part=b"id: 4\ndata: x")
+        )
+        second = await session.add("i-2", stream(1, 9))
+        session.servers.of_service("s")[1].load.own = 5
+        reply = await session.ask("/draw/x")
+        assert reply.body == b"".join(map(event, range(1, 10)))
+        assert len(first.requests) == len(second.requests) == 1
+        assert second.requests[0].header("last-event-id") == "3"
+
+    run_routed(main)
+
+
+def test_a_stream_that_may_not_be_resumed_never_looks_complete():
+    async def main(session):
+        await session.add("i-1", stream(1, 9, cut_after=3))
+        other = await session.add("i-2", stream(1, 9))
+        session.servers.of_service("s")[1].load.own = 5
+        with pytest.raises(ExchangeBroken):
+            await session.ask("/draw/x")
+        assert other.requests == []
+
+    run_routed(main, sample_table(is_resumable=False))
+
+
+def test_a_silent_stream_is_resumed_before_its_caller_leaves():
+    async def main(session):
+        await session.add("i-1", stream(1, 3, pause_s=60.0))
+        await session.add("i-2", stream(1, 3))
+        session.servers.of_service("s")[1].load.own = 5
+        start_s = trio.current_time()
+        reply = await session.ask("/draw/x")
+        assert reply.body == b"".join(map(event, range(1, 4)))
+        assert trio.current_time() - start_s < 2.0
+
+    run_routed(main)
+
+
+def test_events_pass_as_they_come():
+    async def main(session):
+        await session.add("i-1", stream(1, 5, pause_s=0.1))
+        request = session.request("/draw/x")
+        async with session.caller.open(GATEWAY, request) as reply:
+            chunks = reply.chunks()
+            start_s = trio.current_time()
+            assert await anext(chunks) == event(1)
+            assert trio.current_time() - start_s < 0.11
+            assert await anext(chunks) == event(2)
+            assert trio.current_time() - start_s < 0.22
+            await chunks.aclose()
+
+    run_routed(main)
+
+
+def test_a_caller_that_leaves_ends_its_server_s_work_at_once():
+    async def main(session):
+        ended = trio.Event()
+
+        async def answer(request):
+            try:
+                await trio.sleep(60.0)
+            finally:
+                ended.set()
+
+        await session.add("i-1", answer)
+        with trio.move_on_after(0.2):
+            await session.ask("/draw/x")
+        with trio.fail_after(0.1):
+            await ended.wait()
+        assert session.servers.of_service("s")[0].load.own == 0
+
+    run_routed(main)
+
+
+def test_the_final_answer_comes_at_the_route_s_timeout():
+    async def main(session):
+        async def never(request):
+            await trio.sleep_forever()
+
+        await session.add("i-1", never)
+        start_s = trio.current_time()
+        reply = await session.ask("/book/x")
+        assert reply.status == 504
+        assert reply.header("gooseberryyoke-verdict") == "may-have-run"
+        assert trio.current_time() - start_s == pytest.approx(1.2, abs=0.05)
+
+    run_routed(main)
+
+
+def test_a_server_that_is_gone_costs_no_attempt():
+    # Three servers have ended, and their going is not known yet: nothing listens.
+    # The connection is refused, so that nothing ran, and the next one is asked.
+    async def main(session):
+        for number in range(3):
+            session.announce(f"i-gone-{number}", Address(f"10.2.0.{number}", 80))
+        server = await session.add("i-1", whole())
+        session.servers.choose("s", set())
+        for known in session.servers.of_service("s"):
+            known.load.own = 5 if known.entry.id == "i-1" else 0
+        assert (await session.ask("/book/x")).status == 200
+        assert len(server.requests) == 1
+
+    run_routed(main)
+
+
+def test_a_draining_server_gets_nothing_new():
+    async def main(session):
+        leaving = await session.add("i-1", whole())
+        staying = await session.add("i-2", whole())
+        address = session.servers.of_service("s")[0].address
+        session.announce("i-1", address, 2, state=ServerState.DRAINING)
+        for _ in range(5):
+            assert (await session.ask("/book/x")).status == 200
+        assert (len(leaving.requests), len(staying.requests)) == (0, 5)
+
+    run_routed(main)
+
+
+def test_without_a_server_the_answer_comes_at_once_and_promises_not_run():
+    async def main(session):
+        start_s = trio.current_time()
+        reply = await session.ask("/book/x")
+        assert (reply.status, trio.current_time() - start_s < 0.1) == (503, True)
+        assert reply.header("gooseberryyoke-verdict") == "not-run"
+        assert reply.header("retry-after") is not None
+
+    run_routed(main)
+
+
+def test_a_planned_stop_finishes_what_was_begun():
+    async def main(session):
+        await session.add("i-1", stream(1, 40, pause_s=0.1))
+        bodies = []
+
+        async def ask(at_s):
+            await trio.sleep(at_s)
+            reply = await session.ask("/draw/x", attempt=f"a{at_s}")
+            bodies.append(reply.body)
+
+        async with trio.open_nursery() as nursery:
+            for at_s in (0.0, 0.5, 1.5, 2.0):
+                nursery.start_soon(ask, at_s)
+            await trio.sleep(1.0)
+            await session.node.stop(GatewayStop(4.0, 7.4))
+        assert bodies == [b"".join(map(event, range(1, 41)))] * 4
+        assert not session.node.is_open
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/client.py
@@ -12,7 +12,7 @@
     Unavailable,
     WriteOperation,
 )
-from gooseberryyoke.register.messages import Scan, ScanPage
+from gooseberryyoke.register.messages import Read, ReadReply, Scan, ScanPage
 from gooseberryyoke_daemon.registers.exceptions import PeerFailed
 
 __all__ = ["RegisterClient"]
@@ -143,6 +143,41 @@
         """
         return await self._operate(CollectOperation(key, expected_version), timeout_s)
 
+    async def fetch(self, key, unpack, timeout_s):
+        """
+        Get a content that proves itself, from any one replica.
+
+        Parameters
+        ----------
+        key : str
+            The register.
+        unpack : callable
+            Takes the value that a replica holds, and gives what it proves to be;
+            None if it proves nothing.
+        timeout_s : float
+            For each replica asked.
+
+        Returns
+        -------
+        Result of object, Unavailable
+        """
+        seats = list(self._peers)
+        self._rng.shuffle(seats)
+        for seat in seats:
+            message = Read(key, f"{self._identity}-fetch")
+            with trio.move_on_after(timeout_s):
+                try:
+                    reply = await self._peers[seat].call(message)
+                except PeerFailed:
+                    continue
+                if not isinstance(reply, ReadReply):
+                    continue
+                content = unpack(reply.cell.value)
+                if content is not None:
+                    return Success(content)
+        detail = f"none of {', '.join(sorted(seats))} gave {key!r}"
+        return Failure(Unavailable(False, detail))
+
     async def scan(self, prefix, after, limit, timeout_s):
         """
         List registers as one replica has them, which may be behind.
@@ -177,6 +212,8 @@
 
     async def _operate(self, operation, timeout_s):
         peers = self._peers
+        if not peers:
+            return Failure(Unavailable(False, "no replica is known yet"))
         self._operations += 1
         proposer = Proposer(
             operation,
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
@@ -0,0 +1,70 @@
+"""Settings of processes that serve by a route table."""
+
+from gooseberryyoke.record import Record
+
+__all__ = ["ControlSettings", "GatewaySettings", "NodeSettings"]
+
+
+class NodeSettings(Record):
+    """
+    What every role needs.
+
+    Parameters
+    ----------
+    name, data_centre : str
+    internal : Address
+        Where the other processes reach this one.
+    contacts : tuple of str
+        Internal addresses of some control processes.
+    founding : bool
+        The whole deployment starts for the first time. ``contacts`` then names the
+        founders, in the same order at every process.
+    """
+
+    __slots__ = ("name", "data_centre", "internal", "contacts", "founding")
+
+    def __init__(self, name, data_centre, internal, contacts, founding=False):
+        self.name = name
+        self.data_centre = data_centre
+        self.internal = internal
+        self.contacts = tuple(contacts)
+        self.founding = founding
+
+
+class GatewaySettings(Record):
+    """
+    What a gateway needs.
+
+    Parameters
+    ----------
+    node : NodeSettings
+    callers : Address
+        Where callers connect.
+    retry_ratio, retry_reserve : float
+        Of this gateway's `RetryBudget`.
+    """
+
+    __slots__ = ("node", "callers", "retry_ratio", "retry_reserve")
+
+    def __init__(self, node, callers, retry_ratio, retry_reserve):
+        self.node = node
+        self.callers = callers
+        self.retry_ratio = retry_ratio
+        self.retry_reserve = retry_reserve
+
+
+class ControlSettings(Record):
+    """
+    What a control process needs.
+
+    Parameters
+    ----------
+    node : NodeSettings
+    data_folder : str
+    """
+
+    __slots__ = ("node", "data_folder")
+
+    def __init__(self, node, data_folder):
+        self.node = node
+        self.data_folder = data_folder
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -0,0 +1,227 @@
+"""Finds the other control processes, and the seat of this one."""
+
+import trio
+
+from gooseberryyoke.seat import Holder
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.wire import Address, WireError
+
+__all__ = ["SeatKeeper"]
+
+SEATS_PATH = "/internal/seats"
+
+_GREET_S = 0.5
+_FIRST_GREET_S = 0.1
+_GREET_TIMEOUT_S = 0.4
+_VACANT_S = 2.5
+"""Silence of a holder after which a process without a seat takes it. Longer than a
+process takes to start again; a holder that returns later finds that it has lost the
+seat, and its votes count no more, so that too short a time costs a copy, not state."""
+
+
+class SeatKeeper:
+    """
+    Runs the replica of a control process.
+
+    Parameters
+    ----------
+    address : str
+        Of this process, for internal calls.
+    contacts : callable
+        Gives the addresses to ask; the settings may change them.
+    seats : SeatMap
+        Shared with `SeatPeers`.
+    peers : SeatPeers
+    client : HttpClient
+    register_disk : FolderDisk or MemoryDisk
+    seat_file : SeatFile
+    rng : random.Random
+    founding : bool
+        The deployment starts for the first time: this process holds the seat at
+        which ``seats`` names its address, and may begin with an empty state.
+
+    Attributes
+    ----------
+    replica : Replica or None
+        None while this process holds no seat.
+    controls : dict of str to float
+        Addresses of control processes, with the time of their last answer.
+    """
+
+    def __init__(
+        self,
+        address,
+        contacts,
+        seats,
+        peers,
+        client,
+        register_disk,
+        seat_file,
+        rng,
+        founding,
+        on_seats=lambda: None,
+    ):
+        self.address = address
+        self.replica = None
+        self.controls = {}
+        self._contacts = contacts
+        self._seats = seats
+        self._peers = peers
+        self._client = client
+        self._disk = register_disk
+        self._file = seat_file
+        self._rng = rng
+        self._founding = founding
+        self._on_seats = on_seats
+        self._saved = None
+        self._started_s = 0.0
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """
+        Hold a seat if there is one for this process, until cancelled.
+
+        Parameters
+        ----------
+        task_status : trio.TaskStatus
+            Told at once.
+        """
+        self._started_s = trio.current_time()
+        seat, stored = await self._disk.run(self._file.load)
+        if self._seats.merge(stored.to_json()):
+            self._on_seats()
+        if seat is None and self._founding:
+            seat = self._seats.seat_at(self.address)
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            if seat is not None:
+                await self._sit(seat, nursery, self._founding)
+            await self._keep_in_touch(nursery)
+
+    async def _keep_in_touch(self, nursery):
+        while True:
+            await self._greet_all()
+            if self.replica is None:
+                await self._look_for_seat(nursery)
+            elif self.replica.is_ready:
+                await self._announce()
+            settled = self.replica is not None and self.replica.is_ready
+            await trio.sleep(_GREET_S if settled else _FIRST_GREET_S)
+
+    async def _sit(self, seat, nursery, may_found):
+        log_event("seat-taken", seat=seat, may_found=may_found)
+        peers = self._peers.by_seat()
+        peers.pop(seat, None)
+        replica = Replica(seat, self._disk, peers, self._rng, may_found=may_found)
+        await nursery.start(replica.run)
+        self.replica = replica
+        self._peers.own = replica
+
+    async def _announce(self):
+        replica = self.replica
+        incarnation = replica.acceptor.state.incarnation
+        if self._seats.take(replica.seat, Holder(incarnation, self.address)):
+            self._on_seats()
+        packed = self._seats.to_json()
+        if packed != self._saved:
+            await self._disk.run(self._file.save, replica.seat, self._seats)
+            self._saved = packed
+
+    async def _look_for_seat(self, nursery):
+        seat = self._seats.seat_at(self.address) or self._vacant_seat()
+        if seat is not None:
+            await self._sit(seat, nursery, may_found=False)
+
+    def _vacant_seat(self):
+        now = trio.current_time()
+        if now - self._started_s < _VACANT_S or not self._seats.holders:
+            return None
+        silent = [
+            seat
+            for seat, holder in sorted(self._seats.holders.items())
+            if now - self.controls.get(holder.address, self._started_s) > _VACANT_S
+        ]
+        # Others must be heard, or the silence is this process's own.
+        heard = len(self._seats.holders) - len(silent)
+        return silent[0] if silent and heard > len(self._seats.holders) // 2 else None
+
+    async def _greet_all(self):
+        addresses = set(self._contacts()) | set(self.controls)
+        addresses |= {holder.address for holder in self._seats.holders.values()}
+        addresses.discard(self.address)
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                nursery.start_soon(self._greet, address)
+
+    async def _greet(self, address):
+        payload = {"address": self.address, "seats": self._seats.to_json()}
+        try:
+            reply = await self._client.json(
+                "POST",
+                Address.parse(address),
+                SEATS_PATH,
+                payload,
+                timeout_s=_GREET_TIMEOUT_S,
+                repeatable=True,
+            )
+            self.hear(address, reply.payload)
+        except WireError:
+            # A silent contact shows in `controls`; it is asked again in a moment.
+            return
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            log_event(
+                "greeting-unreadable", level="warning", address=address, why=str(exc)
+            )
+
+    def hear(self, address, payload):
+        """
+        Take over what another control process says.
+
+        Parameters
+        ----------
+        address : str
+            Its address.
+        payload : dict
+            With ``seats``, and ``controls`` that it knows.
+
+        Returns
+        -------
+        dict
+            What this process says in turn.
+        """
+        if self._seats.merge(payload["seats"]):
+            log_event("seats-changed", seats=self._seats.to_json(), told_by=address)
+            self._on_seats()
+        self._note_control(address)
+        for other in payload.get("controls", ()):
+            self.controls.setdefault(str(other), float("-inf"))
+        return self.say()
+
+    def _note_control(self, address):
+        now = trio.current_time()
+        before = self.controls.get(address)
+        self.controls[address] = now
+        if before is None or now - before > _VACANT_S:
+            log_event("control-reached", address=address)
+
+    def say(self):
+        """
+        Tell the seats, and the control processes heard of lately.
+
+        Returns
+        -------
+        dict
+        """
+        return {"seats": self._seats.to_json(), "controls": self.live_controls()}
+
+    def live_controls(self):
+        """
+        List the control processes that answered lately, this one included.
+
+        Returns
+        -------
+        list of str
+        """
+        now = trio.current_time()
+        live = [a for a, at in self.controls.items() if now - at < 4 * _VACANT_S]
+        return [self.address, *live]
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
@@ -0,0 +1,215 @@
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+
+from gooseberryyoke.seat import SeatMap
+from gooseberryyoke_daemon.compose_routed import Control
+from gooseberryyoke_daemon.control import ControlLinks
+from gooseberryyoke_daemon.routed_settings import ControlSettings, NodeSettings
+from gooseberryyoke_daemon.storage.memory import MemoryDisk
+from gooseberryyoke_daemon.wire import Address, HttpClient
+from gooseberryyoke_daemon.wire.memory import MemoryNetwork
+
+PORT = 70
+SEEDS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
+
+
+class Deployment:
+    """Control processes on hosts with disks, which can be killed and emptied."""
+
+    def __init__(self, nursery, seed=0):
+        self.network = MemoryNetwork(latency_s=0.001)
+        self.rng = Random(seed)
+        self.disks = {}
+        self.running = {}
+        self._scopes = {}
+        self._nursery = nursery
+
+    def _open_disk(self, host):
+        def open_disk(path):
+            return self.disks.setdefault((host, path), MemoryDisk(0.002))
+
+        return open_disk
+
+    async def start(self, number, founding=False, contacts=SEEDS):
+        host = f"10.0.0.{number}"
+        node = NodeSettings(f"c{number}", "a", Address(host, PORT), contacts, founding)
+        control = Control(
+            ControlSettings(node, "data"),
+            self.network.host(host),
+            Random(self.rng.getrandbits(64)),
+            self._open_disk(host),
+        )
+        self._scopes[number] = trio.CancelScope()
+        self.running[number] = control
+        await self._nursery.start(self._run, number, control)
+        return control
+
+    async def _run(self, number, control, task_status):
+        with self._scopes[number]:
+            await control.run(task_status=task_status)
+
+    def kill(self, number, wipe=False):
+        self._scopes[number].cancel()
+        del self.running[number]
+        host = f"10.0.0.{number}"
+        for key in list(self.disks):
+            if key[0] == host:
+                if wipe:
+                    del self.disks[key]
+                else:
+                    self.disks[key] = self.disks[key].copy()
+                    self.disks[key].crash(self.rng)
+
+    async def found(self):
+        for number in (1, 2, 3):
+            await self.start(number, founding=True)
+        await self.until_ready(1, 2, 3)
+
+    async def until_ready(self, *numbers, limit_s=10.0):
+        with trio.fail_after(limit_s):
+            while not all(self.is_ready(number) for number in numbers):
+                await trio.sleep(0.02)
+
+    def is_ready(self, number):
+        replica = self.running[number].keeper.replica
+        return replica is not None and replica.is_ready
+
+
+def run(main, seed=0):
+    async def body():
+        with trio.fail_after(3600):
+            async with trio.open_nursery() as nursery:
+                await main(Deployment(nursery, seed))
+                nursery.cancel_scope.cancel()
+
+    trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_the_first_processes_found_the_replicas_in_any_order_of_start():
+    async def main(deployment):
+        for number in (3, 1, 2):
+            await deployment.start(number, founding=True)
+            await trio.sleep(0.1)
+        await deployment.until_ready(1, 2, 3, limit_s=2.0)
+        store = deployment.running[2].store
+        assert (await store.put(4, b"4")).unwrap()
+        assert (await deployment.running[3].store.newest()).unwrap().text == b"4"
+
+    run(main)
+
+
+def test_all_killed_at_once_find_their_seats_and_the_table_again():
+    async def main(deployment):
+        await deployment.found()
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        for number in (1, 2, 3):
+            deployment.kill(number)
+        # The settings name other contacts by now, one of them wrong.
+        contacts = (f"10.0.0.9:{PORT}", SEEDS[2])
+        for number in (1, 2, 3):
+            await deployment.start(number, contacts=contacts)
+        await deployment.until_ready(1, 2, 3, limit_s=3.0)
+        assert (await deployment.running[1].store.newest()).unwrap().text == b"4"
+
+    for seed in range(5):
+        run(main, seed)
+
+
+def test_an_emptied_disk_votes_again_only_with_a_majority_s_state():
+    async def main(deployment):
+        await deployment.found()
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        deployment.kill(2, wipe=True)
+        deployment.kill(3)
+        await deployment.start(2)
+        await trio.sleep(2.0)
+        assert not deployment.is_ready(2)
+        await deployment.start(3)
+        await deployment.until_ready(2, 3)
+        deployment.kill(1)
+        assert (await deployment.running[2].store.newest()).unwrap().text == b"4"
+
+    run(main)
+
+
+def test_a_new_process_takes_the_seat_of_one_that_is_gone():
+    # A machine is replaced by an empty one at another address, and after it a second
+    # one: each time the newcomer copies the state and votes in the seat of the old.
+    async def main(deployment):
+        await deployment.found()
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        deployment.kill(3, wipe=True)
+        await deployment.start(4)
+        await deployment.until_ready(4)
+        assert deployment.running[4].keeper.replica.seat == "3"
+        await trio.sleep(1.0)
+        deployment.kill(1, wipe=True)
+        await deployment.start(5)
+        await deployment.until_ready(5)
+        assert (await deployment.running[5].store.newest()).unwrap().text == b"4"
+        assert (await deployment.running[2].store.put(9, b"9")).unwrap()
+        assert (await deployment.running[4].store.newest()).unwrap().text == b"9"
+
+    run(main)
+
+
+def test_a_spare_process_leaves_a_seat_alone_whose_holder_restarts():
+    async def main(deployment):
+        await deployment.found()
+        await deployment.start(4)
+        await trio.sleep(5.0)
+        deployment.kill(2)
+        await trio.sleep(1.0)
+        await deployment.start(2)
+        await deployment.until_ready(2)
+        await trio.sleep(5.0)
+        assert deployment.running[4].keeper.replica is None
+
+    run(main)
+
+
+def test_a_process_that_hears_nobody_takes_no_seat():
+    # The network of a newcomer is down: all seats look silent to it.
+    async def main(deployment):
+        await deployment.found()
+        spare = await deployment.start(4)
+        await trio.sleep(1.0)
+        for number in (1, 2, 3):
+            deployment.network.cut("10.0.0.4", f"10.0.0.{number}")
+        await trio.sleep(10.0)
+        assert spare.keeper.replica is None
+
+    run(main)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_entries_learn_of_the_new_holder_of_a_seat(seed):
+    async def main(deployment):
+        await deployment.found()
+        seats, changes = SeatMap(), []
+        links = ControlLinks(
+            HttpClient(deployment.network.host("10.7.0.1")),
+            lambda: SEEDS,
+            seats,
+            lambda servers: None,
+            lambda: changes.append(1),
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(links.run)
+            await trio.sleep(1.5)
+            assert {h.address for h in seats.holders.values()} == set(SEEDS)
+            deployment.kill(2, wipe=True)
+            await deployment.start(4)
+            await deployment.until_ready(4)
+            await trio.sleep(2.0)
+            assert seats.holders["2"].address == f"10.0.0.4:{PORT}"
+            assert changes
+            nursery.cancel_scope.cancel()
+
+    run(main, seed)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
@@ -0,0 +1,94 @@
+"""The table that an entry goes by."""
+
+from returns.result import Failure
+from trio import TASK_STATUS_IGNORED, current_time, sleep
+
+from gooseberryyoke_daemon.logs import log_event
+
+__all__ = ["TableWatcher"]
+
+_CHECK_S = 0.4
+"""Between two reads of the newest version. A fifth of the two seconds within which
+operators expect a table in force, so that a read may fail twice."""
+
+
+class TableWatcher:
+    """
+    Follows the newest table.
+
+    Parameters
+    ----------
+    store : TableStore
+    decode : callable
+        Takes a text and gives a Result of RouteTable, list of str.
+    on_install : callable, optional
+        Takes each table that comes into force.
+
+    Attributes
+    ----------
+    table : RouteTable or None
+        None until one was read. An entry that loses the replicas goes on with the
+        table that it has: refusing every caller costs them more than an older route.
+    confirmed_s : float
+        When the table was last known to be the newest, on trio's clock.
+    """
+
+    def __init__(self, store, decode, on_install=lambda _: None):
+        self.table = None
+        self.confirmed_s = float("-inf")
+        self._store = store
+        self._decode = decode
+        self._on_install = on_install
+        self._is_reachable = True
+
+    async def run(self, task_status=TASK_STATUS_IGNORED):
+        """Check for newer tables until cancelled."""
+        task_status.started()
+        while True:
+            await self.check()
+            await sleep(_CHECK_S)
+
+    async def check(self):
+        """Read the newest table once, and install it if it is newer."""
+        start_s = current_time()
+        found = await self._store.newest()
+        self._note_reachable(found)
+        if isinstance(found, Failure):
+            return
+        self.confirmed_s = start_s
+        stored = found.unwrap()
+        # A table never goes back within one life of the process.
+        if stored is None or self._is_held(stored.version):
+            return
+        self._install(stored, current_time() - start_s)
+
+    def _is_held(self, version):
+        return self.table is not None and self.table.version >= version
+
+    def _install(self, stored, read_s):
+        decoded = self._decode(stored.text)
+        if isinstance(decoded, Failure):
+            log_event(
+                "table-undecodable",
+                level="error",
+                version=stored.version,
+                mistakes=decoded.failure()[:3],
+            )
+            return
+        self.table = decoded.unwrap()
+        log_event(
+            "table-installed",
+            version=stored.version,
+            routes=len(self.table.routes),
+            read_ms=round(read_s * 1000),
+        )
+        self._on_install(self.table)
+
+    def _note_reachable(self, found):
+        is_reachable = not isinstance(found, Failure)
+        if is_reachable != self._is_reachable:
+            event = "replicas-regained" if is_reachable else "replicas-lost"
+            held = None if self.table is None else self.table.version
+            why = None if is_reachable else str(found.failure())
+            log_event(event, level="warning", held_version=held, why=why)
+        self._is_reachable = is_reachable
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -0,0 +1,259 @@
+"""A gateway before scripted servers, on a network in memory."""
+
+from random import Random
+
+import trio
+import trio.testing
+
+from gooseberryyoke.membership.server_book import ServerEntry, ServerState
+from gooseberryyoke.routing import (
+    ClientAccount,
+    Route,
+    RoutedService,
+    RouteKind,
+    RouteTable,
+    Split,
+)
+from gooseberryyoke_daemon.gateway import GatewayNode, HeaderNames
+from gooseberryyoke_daemon.gateway.servers import Servers
+from gooseberryyoke_daemon.wire import (
+    Address,
+    HttpClient,
+    HttpServer,
+    Limits,
+    Request,
+    Response,
+)
+from gooseberryyoke_daemon.wire.memory import MemoryNetwork
+
+__all__ = ["RoutedSession", "ScriptedServer", "run_routed", "sample_table"]
+
+NAMES = HeaderNames()
+GATEWAY = Address("10.0.0.1", 80)
+KEY = "deck-key"
+_CONNECT_S = 0.5
+_LIMIT_S = 3600
+
+
+def sample_table(version=1, **changes):
+    """
+    Make a table with one route of each kind.
+
+    Parameters
+    ----------
+    version : int
+    **changes
+        Fields of all routes.
+
+    Returns
+    -------
+    RouteTable
+    """
+    kinds = {
+        "/read/": (RouteKind.IDEMPOTENT, 2),
+        "/book/": (RouteKind.NON_IDEMPOTENT, 1),
+        "/draw/": (RouteKind.STREAMING, 2),
+    }
+    routes = [
+        Route(
+            prefix.strip("/"),
+            "h.example",
+            prefix,
+            kind,
+            [Split("s", 1)],
+            **{
+                "timeout_s": 8.0 if kind is RouteKind.STREAMING else 1.2,
+                "max_attempts": attempts,
+                "is_resumable": kind is RouteKind.STREAMING,
+                **changes,
+            },
+        )
+        for prefix, (kind, attempts) in kinds.items()
+    ]
+    return RouteTable(
+        version, routes, [RoutedService("s")], [ClientAccount("deck", [KEY])]
+    )
+
+
+class ScriptedServer:
+    """
+    A backend server that does what a test says.
+
+    Parameters
+    ----------
+    id : str
+    answer : async callable
+        Takes the request, returns a Response.
+
+    Attributes
+    ----------
+    requests : list of Request
+        As they arrived.
+    """
+
+    def __init__(self, id, answer):
+        self.id = id
+        self.answer = answer
+        self.requests = []
+
+    async def __call__(self, request):
+        """Note the request and answer it."""
+        self.requests.append(request)
+        return await self.answer(request)
+
+
+class _FixedTable:
+    def __init__(self, table):
+        self.table = table
+
+
+class RoutedSession:
+    """
+    What a test of a gateway needs at hand.
+
+    Attributes
+    ----------
+    network : MemoryNetwork
+    node : GatewayNode
+    servers : Servers
+    watcher : object
+        Its ``table`` may be replaced.
+    """
+
+    def __init__(self, nursery, table):
+        self.network = MemoryNetwork(latency_s=0.001)
+        self.watcher = _FixedTable(table)
+        rng = Random(1)
+        self.servers = Servers("a", rng)
+        client = HttpClient(
+            self.network.host(GATEWAY.host),
+            Limits(pool_connections=0),
+            keeps_host=True,
+            connect_timeout_s=_CONNECT_S,
+        )
+        self.node = GatewayNode(self.watcher, self.servers, client, NAMES, rng)
+        self.caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
+        self._nursery = nursery
+        self._count = 0
+
+    async def start(self):
+        """Start the gateway."""
+        listeners = await self.network.host(GATEWAY.host).listen(GATEWAY)
+        await self._nursery.start(self.node.run, listeners)
+
+    async def add(self, id, answer, handler=None, **changes):
+        """
+        Start a server and announce it.
+
+        Parameters
+        ----------
+        id : str
+        answer : async callable
+            See `ScriptedServer`.
+        handler : async callable, optional
+            Serves raw streams instead, for servers that break the protocol.
+        **changes
+            Fields of the `ServerEntry`.
+
+        Returns
+        -------
+        ScriptedServer
+        """
+        self._count += 1
+        address = Address(f"10.1.0.{self._count}", 80)
+        server = ScriptedServer(id, answer)
+        listeners = await self.network.host(address.host).listen(address)
+        if handler is None:
+            await self._nursery.start(HttpServer(server).run, listeners)
+        else:
+            self._nursery.start_soon(trio.serve_listeners, handler, listeners)
+        self.announce(id, address, **changes)
+        return server
+
+    def announce(self, id, address, sequence=1, **changes):
+        """
+        Let the gateway know of a server.
+
+        Parameters
+        ----------
+        id : str
+        address : Address
+        sequence : int
+        **changes
+            More fields of the `ServerEntry`.
+        """
+        fields = {
+            "service": "s",
+            "data_centre": "a",
+            "slots": 6,
+            "state": ServerState.READY,
+            **changes,
+        }
+        self.servers.take(
+            [ServerEntry(id, 1, sequence, address=str(address), **fields)]
+        )
+
+    def request(self, path, attempt="a1", key=KEY, deadline_ms=8000, headers=()):
+        """
+        Make a caller's request.
+
+        Parameters
+        ----------
+        path, attempt, key : str
+        deadline_ms : int
+        headers : iterable of (str, str)
+            More headers.
+
+        Returns
+        -------
+        Request
+        """
+        fixed = [
+            ("host", "h.example"),
+            (NAMES.attempt_id, attempt),
+            (NAMES.deadline_ms, str(deadline_ms)),
+        ]
+        if key is not None:
+            fixed.append(("authorization", f"Bearer {key}"))
+        return Request("POST", path, [*fixed, *headers], b"body")
+
+    async def ask(self, path, **fields):
+        """
+        Send a request and read its answer whole.
+
+        Parameters
+        ----------
+        path : str
+        **fields
+            As of `request`.
+
+        Returns
+        -------
+        Response
+        """
+        request = self.request(path, **fields)
+        async with self.caller.open(GATEWAY, request) as reply:
+            body = await reply.read()
+            return Response(reply.status, reply.headers, body)
+
+
+def run_routed(main, table=None):
+    """
+    Run a test against a gateway, on a clock that jumps.
+
+    Parameters
+    ----------
+    main : async callable
+        Takes the `RoutedSession`.
+    table : RouteTable, optional
+    """
+
+    async def body():
+        with trio.fail_after(_LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                session = RoutedSession(nursery, table or sample_table())
+                await session.start()
+                await main(session)
+                nursery.cancel_scope.cancel()
+
+    trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -63,10 +63,23 @@
         On replies and kept connections.
     signer : Signer, optional
         Signs each request, for messages between the system's own processes.
+    keeps_host : bool
+        Leave the host that a request names, for servers that go by it.
+    connect_timeout_s : float, optional
+        For a connection to come about; what was not connected has not run.
     """
 
-    def __init__(self, network, limits=None, signer=None):
+    def __init__(
+        self,
+        network,
+        limits=None,
+        signer=None,
+        keeps_host=False,
+        connect_timeout_s=None,
+    ):
         self._network = network
+        self._connect_timeout_s = connect_timeout_s
+        self._keeps_host = keeps_host
         self._limits = limits or Limits()
         self._signer = signer
         self._pool = Pool(self._limits)
@@ -201,11 +214,14 @@
         channel = None if fresh else await self._pool.take(address)
         if channel is not None:
             return channel, True
+        timeout_s = _or_forever(self._connect_timeout_s)
         try:
-            stream = await self._network.connect(address)
+            with trio.move_on_after(timeout_s):
+                stream = await self._network.connect(address)
+                return Channel(stream, h11.CLIENT, self._limits.head_bytes), False
         except (OSError, *STREAM_ERRORS) as exc:
             raise ConnectFailed(address, f"no connection: {exc}") from exc
-        return Channel(stream, h11.CLIENT, self._limits.head_bytes), False
+        raise ConnectFailed(address, f"no connection within {timeout_s:g} s")
 
     def prepare(self, address, request):
         """
@@ -223,8 +239,9 @@
         Request
             Signed, if the client has a signer, with a nonce of its own.
         """
-        headers = [pair for pair in request.headers if pair[0] != "host"]
-        request = request.replace(headers=[("host", str(address)), *headers])
+        if not self._keeps_host:
+            headers = [pair for pair in request.headers if pair[0] != "host"]
+            request = request.replace(headers=[("host", str(address)), *headers])
         return self._signer.sign(request) if self._signer else request
 
     def reply_to(self, address, channel, head):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
@@ -137,7 +137,7 @@
     return Response(status, (kind, *headers), orjson.dumps(payload))
 
 
-def problem_response(refusal, headers=()):
+def problem_response(refusal, headers=(), retry_digits=0):
     """
     Turn a refusal into problem JSON (RFC 9457).
 
@@ -147,11 +147,14 @@
         What the caller is told.
     headers : iterable of (str, str)
         More headers.
+    retry_digits : int
+        Decimals of Retry-After. 0 as HTTP has it; more where the callers are known
+        to read fractions, and a whole second would be most of their patience.
 
     Returns
     -------
     Response
-        With the verdict header, and Retry-After in whole seconds if known.
+        With the verdict header, and Retry-After if known.
     """
     payload = {
         "type": f"urn:gooseberryyoke:problem:{refusal.reason}",
@@ -167,7 +170,13 @@
     ]
     if refusal.retry_after_s is not None:
         payload["retry_after_s"] = refusal.retry_after_s
-        fixed.append(("retry-after", str(max(1, ceil(refusal.retry_after_s)))))
+        fixed.append(("retry-after", _retry_text(refusal.retry_after_s, retry_digits)))
     if refusal.alternatives:
         payload["alternatives"] = list(refusal.alternatives)
     return Response(refusal.status, (*fixed, *headers), orjson.dumps(payload))
+
+
+def _retry_text(seconds, digits):
+    if digits:
+        return f"{seconds:.{digits}f}"
+    return str(max(1, ceil(seconds)))
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
@@ -0,0 +1,61 @@
+"""Failures of one server, as an entry meets them in its own requests."""
+
+__all__ = ["ServerHealth"]
+
+_FIRST_SHUN_S = 0.5
+_LONGEST_SHUN_S = 4.0
+_FULL_SHUN_S = 0.05
+
+
+class ServerHealth:
+    """
+    Whether a server is left out for a while.
+
+    Requests themselves show that a server is sick; probing it would cost it work.
+
+    Attributes
+    ----------
+    shunned_until_s : float
+        It gets no request before, unless there is no other server.
+    failures : int
+        In a row.
+    """
+
+    __slots__ = ("shunned_until_s", "failures")
+
+    def __init__(self):
+        self.shunned_until_s = float("-inf")
+        self.failures = 0
+
+    def succeeded(self):
+        """Note a whole answer."""
+        self.failures = 0
+        self.shunned_until_s = float("-inf")
+
+    def failed(self, now):
+        """
+        Note a request without an answer.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+        """
+        shun_s = min(_LONGEST_SHUN_S, _FIRST_SHUN_S * 2**self.failures)
+        self.failures += 1
+        self.shunned_until_s = now + shun_s
+
+    def was_full(self, now):
+        """
+        Note a refusal for want of room.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+        """
+        self.shunned_until_s = max(self.shunned_until_s, now + _FULL_SHUN_S)
+
+    def is_shunned(self, now):
+        """Tell whether it is left out at a time in seconds."""
+        return now < self.shunned_until_s
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -0,0 +1,61 @@
+from random import Random
+
+from gooseberryyoke.membership.server_book import ServerEntry, ServerState
+from gooseberryyoke.placement import ServerHealth, ServerLoad, choose_server
+
+
+class Candidate:
+    def __init__(self, id, own=0, slots=6, data_centre="a"):
+        state = ServerState.READY
+        self.entry = ServerEntry(id, 0, 1, "s", f"{id}:80", data_centre, slots, state)
+        self.load = ServerLoad()
+        self.load.own = own
+        self.health = ServerHealth()
+
+
+def choose(*candidates, now=0.0):
+    return choose_server(list(candidates), "a", now, Random(1)).entry.id
+
+
+def test_the_server_with_the_most_room_is_chosen():
+    assert choose(Candidate("x", own=3), Candidate("y", own=1)) == "y"
+    assert choose(Candidate("x", own=3, slots=12), Candidate("y", own=2)) == "x"
+
+
+def test_among_equals_the_near_one():
+    far, near = Candidate("x", data_centre="b"), Candidate("y")
+    assert choose(far, near) == "y"
+
+
+def test_a_failed_server_is_left_out_and_comes_back():
+    sick, sound = Candidate("x"), Candidate("y", own=5)
+    sick.health.failed(0.0)
+    assert choose(sick, sound, now=0.1) == "y"
+    assert choose(sick, sound, now=0.6) == "x"
+
+
+def test_failures_in_a_row_keep_it_out_longer_up_to_a_bound():
+    health = ServerHealth()
+    for _ in range(10):
+        health.failed(0.0)
+    assert health.is_shunned(3.9)
+    assert not health.is_shunned(4.1)
+    health.succeeded()
+    health.failed(10.0)
+    assert not health.is_shunned(10.6)
+
+
+def test_if_all_are_left_out_one_is_tried_all_the_same():
+    sick = Candidate("x")
+    sick.health.failed(0.0)
+    assert choose(sick, now=0.1) == "x"
+    assert choose_server([], "a", 0.0, Random(1)) is None
+
+
+def test_the_word_of_a_server_on_others_load_fades():
+    load = ServerLoad()
+    load.own = 2
+    load.tell(running=5, waiting=1, now=10.0)
+    assert load.expected(10.0) == 6.0
+    assert load.expected(10.5) == 4.0
+    assert load.expected(100.0) < 2.01
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/routing/account.py
@@ -0,0 +1,26 @@
+"""Client accounts of a route table."""
+
+from gooseberryyoke.record import Record
+
+__all__ = ["ClientAccount"]
+
+
+class ClientAccount(Record):
+    """
+    Who calls, known by the keys it may present.
+
+    Parameters
+    ----------
+    name : str
+    keys : tuple of str
+        Bearer keys; none of them belongs to another account.
+    priority : int or None
+        Goes before the priority of a route; 0 is the most urgent.
+    """
+
+    __slots__ = ("name", "keys", "priority")
+
+    def __init__(self, name, keys, priority=None):
+        self.name = name
+        self.keys = tuple(keys)
+        self.priority = priority
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
@@ -0,0 +1,34 @@
+import pytest
+from hypothesis import given, strategies as st
+
+from gooseberryyoke.stream.events import EventSplitter
+
+STREAM = b"id: 1\ndata: one\n\nid: 2\nevent: x\ndata: two\ndata: more\n\ndata: end\n\n"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_events_are_the_same_however_the_bytes_are_cut(cuts):
+    splitter, events = EventSplitter(), []
+    edges = sorted({0, len(STREAM), *cuts})
+    for start, end in zip(edges, edges[1:], strict=False):
+        events += splitter.feed(STREAM[start:end])
+    assert b"".join(event.data for event in events) == STREAM
+    assert [event.id for event in events] == ["1", "2", None]
+    assert not splitter.has_part
+
+
+def test_a_stream_that_breaks_within_an_event_leaves_a_part():
+    splitter = EventSplitter()
+    assert len(splitter.feed(b"id: 1\n\nid: 2\nda")) == 1
+    assert splitter.has_part
+
+
+def test_lines_may_end_with_a_carriage_return():
+    splitter = EventSplitter()
+    events = splitter.feed(b"id: 7\r\ndata: x\r\n\r\n")
+    assert [event.id for event in events] == ["7"]
+
+
+def test_an_endless_event_is_refused():
+    with pytest.raises(ValueError, match="longer than 10 bytes"):
+        EventSplitter(max_bytes=10).feed(b"data: 0123456789")
