Let a farewell outrank the heartbeats of its life at every follower

Ruled out: the link to the control process; the log shows it held all the while. In the same log: a wait for the body of negative length, which gave callers 500.

Change: the end of a life comes after all its announcements; waits are never negative; a connection to a server may take 0.15 s instead of 0.5, since a crashed one cost each caller half a second.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -21,9 +21,10 @@
 
 _INTERNAL_BODY_BYTES = 32 * 1024 * 1024
 """A replica's page or table may be a few times the longest table of operators."""
-_SERVER_CONNECT_S = 0.5
-"""A server whose queue of new connections is full drops the first packet, which is
-sent again only after a second; another server has answered by then."""
+_SERVER_CONNECT_S = 0.15
+"""Twenty times what a connection within a region takes. A server that has crashed
+never answers, and one whose queue of new connections is full drops the first packet,
+which is sent again only after a second: another server has answered by then."""
 _CONTROL_STOP_S = 0.3
 """For calls in flight at a control process that ends."""
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -87,7 +87,7 @@
         ------
         CallFailed
         """
-        with trio.move_on_after(timeout_s):
+        with trio.move_on_after(max(0.0, timeout_s)):
             try:
                 return await anext(self._chunks, None)
             except WireError as exc:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -85,6 +85,11 @@
             and self._servers.has_any()
         )
 
+    @property
+    def counts(self):
+        """Events at the callers' connections by name, see `HttpServer`."""
+        return self._server.counts
+
     async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
         """Serve callers until stopped."""
         await self._server.run(listeners, task_status=task_status)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -2,6 +2,8 @@
 import trio
 
 from gooseberryyoke.membership.server_book import ServerState
+from gooseberryyoke_daemon.gateway.call import CallFailed
+from gooseberryyoke_daemon.gateway.exchange import Exchange
 from gooseberryyoke_daemon.gateway.node import GatewayStop
 from gooseberryyoke_daemon.testing.routed import (
     GATEWAY,
@@ -375,3 +377,44 @@
         assert not session.node.is_open
 
     run_routed(main)
+
+
+def test_a_body_that_is_waited_for_past_the_deadline_is_a_failed_attempt():
+    # A server gives up at the deadline that it was told, so that the head of its
+    # answer comes in the moment in which the gateway's own time ends. The wait for
+    # the body was then of negative length, and the caller got 500.
+    async def main(session):
+        async def handler(stream):
+            async with stream:
+                await stream.receive_some(65536)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n")
+                await trio.sleep(5.0)
+
+        await session.add("i-1", None, handler=handler)
+        exchange = Exchange(session.request("/book/x"), "a1", trio.current_time())
+        exchange.deadline_s = trio.current_time() + 1.0
+        server = session.servers.choose("s", set())
+        call = await session.calls.open(exchange, server, exchange.deadline_s)
+        with pytest.raises(CallFailed, match="answer-stalled"):
+            await call.read(trio.current_time() - 0.001)
+        await call.close()
+
+    run_routed(main)
+
+
+def test_an_idempotent_request_is_asked_again_when_its_first_time_is_over():
+    async def main(session):
+        async def half(stream):
+            async with stream:
+                await stream.receive_some(65536)
+                await trio.sleep(0.59)
+                await stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n")
+                await trio.sleep(5.0)
+
+        await session.add("i-1", None, handler=half)
+        await session.add("i-2", whole(b"ok"))
+        session.servers.of_service("s")[1].load.own = 5
+        assert (await session.ask("/read/x")).status == 200
+        assert session.node.counts["handler-failed"] == 0
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -15,6 +15,7 @@
     Split,
 )
 from gooseberryyoke_daemon.gateway import GatewayNode, HeaderNames
+from gooseberryyoke_daemon.gateway.call import ServerCalls
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.wire import (
     Address,
@@ -116,6 +117,8 @@
     network : MemoryNetwork
     node : GatewayNode
     servers : Servers
+    calls : ServerCalls
+        Over the connections that the gateway uses.
     watcher : object
         Its ``table`` may be replaced.
     """
@@ -131,6 +134,7 @@
             keeps_host=True,
             connect_timeout_s=_CONNECT_S,
         )
+        self.calls = ServerCalls(client, NAMES)
         self.node = GatewayNode(self.watcher, self.servers, client, NAMES, rng)
         self.caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
         self._nursery = nursery
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/server_book.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/server_book.py
@@ -96,8 +96,13 @@
 
     @property
     def age(self):
-        """Order among the announcements of one id."""
-        return (self.born_ms, self.sequence)
+        """
+        Order among the announcements of one id.
+
+        The end of a life comes after all its heartbeats: one sent before it may
+        arrive later, and would bring the server back to get work.
+        """
+        return (self.born_ms, self.state is ServerState.GONE, self.sequence)
 
     def to_json(self):
         """
@@ -185,21 +190,12 @@
         known = self.entries.get(entry.id)
         if known is not None and known.age >= entry.age:
             return False
-        if known is not None and self._ends_same_life(known, entry):
-            return False
         if not self._take_address(entry):
             return False
         is_news = known is None or known.replace(sequence=entry.sequence) != entry
         self._store(entry, now, is_news)
         return is_news
 
-    @staticmethod
-    def _ends_same_life(known, entry):
-        # A heartbeat sent before the end may arrive after it, with a sequence that
-        # the end didn't tell: the life would come back and get work.
-        gone = known.state is ServerState.GONE
-        return gone and known.born_ms == entry.born_ms
-
     def _take_address(self, entry):
         """Give the address to the life that began later; see who had it before."""
         holder = self.entries.get(self._by_address.get(entry.address))
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_server_book.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_server_book.py
@@ -94,3 +94,19 @@
     with_place = entry(place=RankPlace("g", 2, 3, 8, True))
     for sent in (entry(), with_place):
         assert ServerEntry.from_json(sent.to_json()) == sent
+
+
+def test_an_end_reaches_followers_that_know_the_last_heartbeat():
+    # A server announces itself once and says farewell, without a number of its own.
+    # Followers that took the farewell for a repetition of the announcement went on
+    # sending it requests for seconds.
+    control, follower = ServerBook(), ServerBook()
+    control.take(entry(sequence=1), 0.0)
+    for told in control.since(0):
+        follower.take(told, 0.1)
+    seen = control.count
+    control.end("i-1", None, 0.2)
+    for told in control.since(seen):
+        follower.take(told, 0.3)
+    assert follower.entries["i-1"].state is GONE
+    assert not follower.take(entry(sequence=2), 0.4)
