--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/identify.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/identify.py
@@ -21,17 +21,23 @@
     names : HeaderNames
     rng : random.Random
         Draws the service of a split route.
+    warm_up : WarmUp
     """
 
-    __slots__ = ("_current_table", "_names", "_rng")
+    __slots__ = ("_current_table", "_names", "_rng", "_warm_up")
 
-    def __init__(self, current_table, names, rng):
+    def __init__(self, current_table, names, rng, warm_up):
+        self._warm_up = warm_up
         self._current_table = current_table
         self._names = names
         self._rng = rng
 
     async def __call__(self, exchange, proceed):
         """Set table, route, account, service and deadline, then go on."""
+        patience_s = self._patience_s(exchange.request)
+        await self._warm_up.wait_for(
+            lambda: self._current_table() is not None, exchange.received_s + patience_s
+        )
         table = exchange.table = self._current_table()
         if table is None:
             # The routes may be there: 404 would tell the caller to give up.
@@ -47,9 +53,7 @@
             if exchange.account is None:
                 return _refuse(401, "unknown-key", "the key is of no client account")
         exchange.service = route.pick_service(self._rng)
-        exchange.deadline_s = exchange.received_s + min(
-            self._patience_s(req), route.timeout_s
-        )
+        exchange.deadline_s = exchange.received_s + min(patience_s, route.timeout_s)
         return await proceed()
 
     def _patience_s(self, req):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -10,6 +10,7 @@
 from gooseberryyoke_daemon.gateway.exchange import Exchange
 from gooseberryyoke_daemon.gateway.identify import Identify
 from gooseberryyoke_daemon.gateway.relay import Relay
+from gooseberryyoke_daemon.gateway.warm_up import WarmUp
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.pipeline import Pipeline
 from gooseberryyoke_daemon.wire import HttpServer, Limits, problem_response
@@ -67,10 +68,11 @@
         self._servers = servers
         self._names = names
         budget = budget or RetryBudget()
+        warm_up = WarmUp(trio.current_time())
         self._pipeline = Pipeline(
             [
-                Identify(lambda: watcher.table, names, rng),
-                Relay(servers, ServerCalls(client, names), budget),
+                Identify(lambda: watcher.table, names, rng, warm_up),
+                Relay(servers, ServerCalls(client, names), budget, warm_up),
             ]
         )
         self._server = HttpServer(self.handle, Limits())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -34,11 +34,13 @@
     budget : RetryBudget
         Of second attempts, which would otherwise multiply the load of servers that
         are sick.
+    warm_up : WarmUp
     """
 
-    __slots__ = ("_servers", "_calls", "_budget")
+    __slots__ = ("_servers", "_calls", "_budget", "_warm_up")
 
-    def __init__(self, servers, calls, budget):
+    def __init__(self, servers, calls, budget, warm_up):
+        self._warm_up = warm_up
         self._servers = servers
         self._calls = calls
         self._budget = budget
@@ -47,6 +49,9 @@
         """Make attempts; the last filter, so that nothing follows."""
         self._budget.request_started()
         exchange.verdict = Verdict.NOT_RUN
+        await self._warm_up.wait_for(
+            lambda: self._servers.of_service(exchange.service), exchange.deadline_s
+        )
         unsent = 0
         while True:
             server = self._servers.choose(exchange.service, exchange.tried)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -118,7 +118,9 @@
     # the caller would give up on a request that any other gateway serves.
     async def main(session):
         session.watcher.table = None
+        start_s = trio.current_time()
         reply = await session.ask("/read/x")
+        assert trio.current_time() - start_s < 2.0
         assert reply.status == 503
         assert float(reply.header("retry-after")) > 0
         assert not session.node.is_open
@@ -349,6 +351,7 @@
 
 def test_without_a_server_the_answer_comes_at_once_and_promises_not_run():
     async def main(session):
+        await trio.sleep(60.0)
         start_s = trio.current_time()
         reply = await session.ask("/book/x")
         assert (reply.status, trio.current_time() - start_s < 0.1) == (503, True)
@@ -418,3 +421,35 @@
         assert session.node.counts["handler-failed"] == 0
 
     run_routed(main)
+
+
+def test_a_gateway_that_starts_lets_its_first_callers_wait_for_the_table():
+    # After a loss of power all processes start together. Callers come back with
+    # their only retry while the replicas still read their disks: told to come back
+    # once more, they have no try left.
+    async def main(session):
+        table, session.watcher.table = session.watcher.table, None
+        await session.add("i-1", whole(b"lanes"))
+
+        async def read_later():
+            await trio.sleep(1.0)
+            session.watcher.table = table
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_later)
+            assert (await session.ask("/read/x")).body == b"lanes"
+
+    run_routed(main)
+
+
+def test_a_gateway_that_starts_lets_its_first_callers_wait_for_servers():
+    async def main(session):
+        async def announce_later():
+            await trio.sleep(0.5)
+            await session.add("i-1", whole(b"lanes"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(announce_later)
+            assert (await session.ask("/read/x")).body == b"lanes"
+
+    run_routed(main)
