--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
@@ -32,9 +32,9 @@
 _COPY_COST = 0.004
 """Part of a step's time that a copy must save. A copy of 50 ms slows the steps of its
 group by 15 in 100, and what is in demand stays so for some three seconds."""
-_MARGIN_STEPS = 4
+_MARGIN_STEPS = 6
 """From the last step begun to the switch. At 12 to 25 steps a second this leaves time
-for one round of orders, so that the group is rarely held at all."""
+for orders that must be sent twice, so that the group is rarely held at all."""
 _RUNNING_GAIN = 0.3
 """Weight of the newest count of running requests, which jumps from look to look."""
 _CALL_S = 2.0
