Watch held groups, take leases again at once, name addresses at the gateways

(2) After a loss of power the old lease's term was waited for: first map change 6 s after the return.

Change: each process beside an engine completes a change that it sees held for 0.4 s, and orders engines directly where the process beside them is gone; a process takes the lease of its own earlier life at once; terms of 2.5 s; gateways tell addresses, from what control processes tell them. Two drivers that left ranks armed for different maps are settled on the one in force (found by the seeded walk: a group that stood still for good). A change must save 2 in 100 of a step.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -33,9 +33,10 @@
 which is sent again only after a second: another server has answered by then."""
 _TABLE_CHECK_S = 10.0
 """At a rank, which needs of the table only how many experts its engines can hold."""
-_LEASE_S = 4.0
+_LEASE_S = 2.5
 """Of a group. After a driver's death its group keeps its map for so long; renewals
 cost two writes to each replica in a third of it."""
+_GROUP_LOOK_S = 0.2
 _CONTROL_STOP_S = 0.3
 """For calls in flight at a control process that ends."""
 
@@ -112,6 +113,7 @@
         # Here and not above: a control process starts in half the time without
         # what only gateways need.
         from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke_daemon.control.presence import Roster
         from gooseberryyoke_daemon.gateway import GatewayNode
         from gooseberryyoke_daemon.gateway.servers import Servers
 
@@ -135,19 +137,40 @@
             self.seats,
             self.servers.take,
             self.seats_changed,
-            self._presence,
+            lambda: self._presence().to_fields(),
+            self._hear_entries,
         )
+        self._roster = Roster(self._presence)
+
+    def addresses(self, data_centre):
+        """
+        List where callers may connect; see `Roster`.
+
+        Parameters
+        ----------
+        data_centre : str
+
+        Returns
+        -------
+        list of str
+        """
+        return self._roster.addresses(data_centre, current_time())
+
+    def _hear_entries(self, control, entries):
+        self._roster.hear(control, entries, current_time())
 
     def _use_table(self, table):
         self.node.use_limits(table)
 
     def _presence(self):
-        return {
-            "name": self.settings.name,
-            "address": str(self._callers),
-            "data_centre": self.settings.data_centre,
-            "is_open": self.node.is_open,
-        }
+        from gooseberryyoke_daemon.control.presence import EntryPresence
+
+        return EntryPresence(
+            self.settings.name,
+            str(self._callers),
+            self.settings.data_centre,
+            self.node.is_open,
+        )
 
     async def run(self, task_status=TASK_STATUS_IGNORED):
         """Serve until cancelled."""
@@ -252,18 +275,20 @@
     settings : RankSettings
     decode : callable
         As of `Gateway`.
-    engine : object
-        See `RankOrders`.
+    engine_at : callable
+        Gives the engine at an address, as `RankOrders` needs it.
     network : TcpNetwork or MemoryHost
     rng : random.Random
     """
 
-    def __init__(self, settings, decode, engine, network, rng):
+    def __init__(self, settings, decode, engine_at, network, rng):
         from gooseberryyoke_daemon.control.link import ControlLinks
         from gooseberryyoke_daemon.groups.members import GroupMembers
         from gooseberryyoke_daemon.groups.rank_orders import RankOrders
 
         super().__init__(settings.node, network, rng)
+        self._engine_at = engine_at
+        engine = self._engine = engine_at(settings.engine)
         self._orders = RankOrders(engine)
         self.watcher = TableWatcher(self.store, decode, check_s=_TABLE_CHECK_S)
         port = settings.node.internal.port
@@ -290,25 +315,45 @@
             nursery.start_soon(self._drive)
 
     async def _drive(self):
-        from gooseberryyoke_daemon.groups.armed_driver import ArmedDriver
+        from gooseberryyoke_daemon.groups import ArmedDriver, HoldWatch
         from gooseberryyoke_daemon.leases import LeaseKeeper
 
         while (group := self.members.group()) is None:
-            await sleep(1.0)
-        holder = f"{self.settings.name}-{self.rng.getrandbits(64):x}"
+            await sleep(_GROUP_LOOK_S)
+        lineage = f"{self.settings.name}/"
         self._lease = LeaseKeeper(
-            self.registers, f"map/{group}", holder, current_time, self.rng, _LEASE_S
+            self.registers,
+            f"map/{group}",
+            f"{lineage}{self.rng.getrandbits(64):x}",
+            current_time,
+            self.rng,
+            _LEASE_S,
+            lineage,
         )
         driver = ArmedDriver(
             group,
-            self.members.addresses,
+            self.members.members,
             self.client,
             self._lease,
             self._pace,
+            self._engine_at,
+            self.settings.internal.host,
+        )
+        watch = HoldWatch(
+            group,
+            self._engine,
+            self.members.members,
+            self.client,
+            self._fence,
+            self._engine_at,
         )
         async with open_nursery() as nursery:
             nursery.start_soon(self._lease.run)
             nursery.start_soon(driver.run)
+            nursery.start_soon(watch.run)
+
+    def _fence(self):
+        return max(self._orders.fence, self._lease.seen_number)
 
     def _pace(self):
         table, service = self.watcher.table, self.members.service()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/__init__.py
@@ -2,6 +2,6 @@
 
 from gooseberryyoke_daemon.control.link import ControlLinks
 from gooseberryyoke_daemon.control.node import ControlNode
-from gooseberryyoke_daemon.control.presence import EntryPresence, Presences
+from gooseberryyoke_daemon.control.presence import EntryPresence, Presences, Roster
 
-__all__ = ["ControlLinks", "ControlNode", "EntryPresence", "Presences"]
+__all__ = ["ControlLinks", "ControlNode", "EntryPresence", "Presences", "Roster"]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -37,6 +37,8 @@
         Called when the seats have changed.
     presence : callable, optional
         Gives the fields of this process's `EntryPresence`.
+    on_entries : callable, optional
+        Takes the address of a control process, and the entries that it knows.
     most : int, optional
         Control processes that are followed at a time. One is enough for a process
         to which a server's leaving may come a little late.
@@ -52,10 +54,12 @@
         on_servers,
         on_seats,
         presence=lambda: None,
+        on_entries=lambda address, entries: None,
         most=None,
         own_address=None,
     ):
         self._own_address = own_address
+        self._on_entries = on_entries
         self._most = most
         self._client = client
         self._contacts = contacts
@@ -95,14 +99,20 @@
             waker.cancel()
 
     async def _follow(self, address):
-        life, count, is_reached = "", 0, None
+        life, count, entries, is_reached = "", 0, [], None
         answered_s = trio.current_time()
         target = Address.parse(address)
         while True:
-            payload = {"life": life, "since": count, "may_wait": bool(is_reached)}
+            payload = {
+                "life": life,
+                "since": count,
+                "entries": entries,
+                "may_wait": bool(is_reached),
+            }
             reply = await self._call(target, payload)
             if reply is not None:
                 life, count = reply["life"], reply["count"]
+                entries = reply["entries"]
                 answered_s = trio.current_time()
             elif self._gives_up(answered_s):
                 break
@@ -134,7 +144,7 @@
                     timeout_s=_CALL_TIMEOUT_S,
                     repeatable=True,
                 )
-                self._take(reply.payload)
+                self._take(str(target), reply.payload)
                 return reply.payload
             except WireError:
                 return None
@@ -144,11 +154,12 @@
         # Woken to report at once; the next call says what has changed.
         return await self._call(target, {**payload, "may_wait": False})
 
-    def _take(self, payload):
+    def _take(self, address, payload):
         servers = [ServerEntry.from_json(packed) for packed in payload["servers"]]
         self._heard.update(payload["controls"])
         if self._seats.merge(payload["seats"]):
             log_event("seats-changed", seats=self._seats.to_json())
             self._on_seats()
+        self._on_entries(address, payload["entries"])
         if servers:
             self._on_servers(servers)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -110,10 +110,6 @@
             log_event("server-left", server=id, born_ms=born_ms)
             self._wake()
 
-    def addresses(self, data_centre):
-        """See `Presences.addresses`."""
-        return self.entries.addresses(data_centre, trio.current_time())
-
     def _wake(self):
         self._news.set()
         self._news = trio.Event()
@@ -153,8 +149,10 @@
             name = presence.name
             if self.entries.hear(presence, trio.current_time()):
                 log_event("entry-reported", entry=name, is_open=presence.is_open)
+                self._wake()
         try:
-            if self.servers.count <= since and payload["may_wait"]:
+            is_news = self.servers.count > since or payload["entries"] != self._there()
+            if not is_news and payload["may_wait"]:
                 await self._wait_for_news()
         except trio.Cancelled:
             if name is not None:
@@ -165,9 +163,14 @@
             "life": self._life,
             "count": self.servers.count,
             "servers": [entry.to_json() for entry in changed],
+            "entries": self._there(),
             **self._keeper.say(),
         }
 
+    def _there(self):
+        there = self.entries.there(trio.current_time())
+        return sorted(entry.to_json() for entry in there)
+
     async def _wait_for_news(self):
         if self._is_leaving:
             return
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
@@ -1,8 +1,8 @@
-"""The entries that a control process hears of, and which to name to callers."""
+"""The entries that report to control processes, and which to name to callers."""
 
 from gooseberryyoke.record import Record
 
-__all__ = ["EntryPresence", "Presences"]
+__all__ = ["EntryPresence", "Presences", "Roster"]
 
 _SILENT_S = 2.5
 """Three of the rounds in which an entry reports."""
@@ -32,6 +32,26 @@
         self.data_centre = data_centre
         self.is_open = is_open
 
+    def to_fields(self):
+        """
+        Give the fields by name, for a report.
+
+        Returns
+        -------
+        dict
+        """
+        return {name: getattr(self, name) for name in self.fields()}
+
+    def to_json(self):
+        """
+        Give the fields in order, for lists of entries.
+
+        Returns
+        -------
+        list
+        """
+        return [getattr(self, name) for name in self.fields()]
+
 
 class Presences:
     """Entries by name, with the time until which each counts as there."""
@@ -75,6 +95,59 @@
         if name in self._until_s:
             self._until_s[name] = min(self._until_s[name], now + _BROKEN_S)
 
+    def there(self, now):
+        """
+        List the entries that count as there.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of EntryPresence
+        """
+        return [
+            entry for name, entry in self._entries.items() if self._until_s[name] > now
+        ]
+
+
+class Roster:
+    """
+    The entries, as one of them hears of the others.
+
+    Each control process tells which entries report to it. An entry is there if one of
+    them says so. While none can be heard, the last word holds: callers that are named
+    an entry that has gone try the next one, callers that are named none can't come.
+
+    Parameters
+    ----------
+    own : callable
+        Gives this entry's own `EntryPresence`.
+    """
+
+    __slots__ = ("_own", "_told")
+
+    def __init__(self, own):
+        self._own = own
+        self._told = {}
+
+    def hear(self, control, entries, now):
+        """
+        Take over what a control process tells.
+
+        Parameters
+        ----------
+        control : str
+            Its address.
+        entries : list of list
+            See `EntryPresence.to_json`.
+        now : float
+            In seconds.
+        """
+        self._told[control] = (now, [EntryPresence(*entry) for entry in entries])
+
     def addresses(self, data_centre, now):
         """
         List where callers may connect.
@@ -90,10 +163,13 @@
         -------
         list of str
         """
-        there = [
-            entry
-            for name, entry in self._entries.items()
-            if entry.is_open and self._until_s[name] > now
-        ]
+        latest_s = max((at_s for at_s, _ in self._told.values()), default=now)
+        entries = {}
+        for at_s, told in sorted(self._told.values(), key=lambda item: item[0]):
+            if at_s >= latest_s - _SILENT_S:
+                entries.update({entry.name: entry for entry in told})
+        own = self._own()
+        entries[own.name] = own
+        there = [entry for entry in entries.values() if entry.is_open]
         there.sort(key=lambda entry: (entry.data_centre != data_centre, entry.name))
         return [entry.address for entry in there]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/__init__.py
@@ -2,6 +2,7 @@
 
 from gooseberryyoke_daemon.groups.armed_driver import ArmedDriver
 from gooseberryyoke_daemon.groups.driver import MapDriver
+from gooseberryyoke_daemon.groups.hold_watch import HoldWatch
 from gooseberryyoke_daemon.groups.members import GroupMembers
 from gooseberryyoke_daemon.groups.rank_agent import RankAgent
 from gooseberryyoke_daemon.groups.rank_orders import OrderReply, RankOrders
@@ -11,6 +12,7 @@
     "ArmedDriver",
     "GroupMembers",
     "GroupRoutes",
+    "HoldWatch",
     "MapDriver",
     "OrderReply",
     "RankAgent",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
@@ -7,22 +7,13 @@
 import trio
 from loguru import logger
 
-from gooseberryyoke.expert.armed import (
-    Arm,
-    Hold,
-    Prepare,
-    Progress,
-    RankStatus,
-    Release,
-    order_to_json,
-)
+from gooseberryyoke.expert.armed import Disarm, Hold, Prepare, Progress
 from gooseberryyoke.expert.expert_map import ExpertMap
 from gooseberryyoke.expert.load import LoadEstimate, LoadFilter
 from gooseberryyoke.expert.rebalance import step_skew
 from gooseberryyoke.expert.replicas import ReplicaLimits, StepCost, plan_replicas
-from gooseberryyoke_daemon.groups.rank_orders import RANK_PATH
+from gooseberryyoke_daemon.groups.group_calls import GroupCalls, RoundEnded
 from gooseberryyoke_daemon.logs import log_event
-from gooseberryyoke_daemon.wire import WireError
 
 __all__ = ["ArmedDriver"]
 
@@ -32,28 +23,16 @@
 _COPY_COST = 0.004
 """Part of a step's time that a copy must save. A copy of 50 ms slows the steps of its
 group by 15 in 100, and what is in demand stays so for some three seconds."""
+_CHANGE_COST = 0.02
+"""Part of a step's time that a change must save beside its copies. A driver that dies
+while it changes a map leaves its group held for half a second."""
 _MARGIN_STEPS = 6
 """From the last step begun to the switch. At 12 to 25 steps a second this leaves time
 for orders that must be sent twice, so that the group is rarely held at all."""
 _RUNNING_GAIN = 0.3
 """Weight of the newest count of running requests, which jumps from look to look."""
-_CALL_S = 2.0
-_ORDER_S = 6.0
 _HOLD_TRIES = 4
 _VERSIONS_A_TERM = 10_000
-_PAUSE_S = 0.1
-
-
-class _Rank:
-    """One rank as the driver sees it."""
-
-    __slots__ = ("address", "status", "counts", "experts")
-
-    def __init__(self, address):
-        self.address = address
-        self.status = None
-        self.counts = None
-        self.experts = None
 
 
 class ArmedDriver:
@@ -70,18 +49,24 @@
     Parameters
     ----------
     group : str
-    addresses : callable
-        Gives the addresses of the agents by rank, or None while not all are known.
+    members : callable
+        Gives the list of `Member` by rank, or None while not all are known.
     client : HttpClient
     lease : LeaseKeeper
         Of the group; its number goes with each order and makes versions unique.
     pace : callable
         Gives the `ModelPace` of the group's service, or None if it isn't known.
+    engine_at : callable
+        See `GroupCalls`.
+    own_host : str, optional
+        Of the machine that the driver runs on.
     """
 
-    def __init__(self, group, addresses, client, lease, pace):
+    def __init__(self, group, members, client, lease, pace, engine_at, own_host=None):
+        self._engine_at = engine_at
+        self._own_host = own_host
         self._group = group
-        self._addresses = addresses
+        self._members = members
         self._client = client
         self._lease = lease
         self._pace = pace
@@ -98,12 +83,20 @@
         while True:
             await trio.sleep(_ROUND_S)
             grant = self._lease.grant()
-            addresses = self._addresses()
-            if grant is None or addresses is None:
+            members = self._members()
+            if grant is None or members is None:
                 continue
+            calls = GroupCalls(
+                self._group,
+                self._client,
+                members,
+                grant.number,
+                lambda number=grant.number: self._holds(number),
+                self._engine_at,
+            )
             try:
-                await self._round(grant, [_Rank(address) for address in addresses])
-            except _Interrupted as exc:
+                await self._round(calls, grant.number)
+            except RoundEnded as exc:
                 log_event(
                     "map-round-ended",
                     level="warning",
@@ -116,12 +109,18 @@
                 # by a fault in here, it would leave a group held.
                 logger.opt(exception=exc).error("map-round-failed")
 
-    async def _round(self, grant, ranks):
-        await self._look(grant, ranks)
-        epoch = self._common_epoch(ranks)
-        held = [rank for rank in ranks if rank.status.held is not None]
-        if held:
-            await self._complete(grant, ranks, held, epoch)
+    def _holds(self, number):
+        grant = self._lease.grant()
+        return grant is not None and grant.number == number
+
+    async def _round(self, calls, fence):
+        ranks = calls.ranks
+        epoch = await calls.look(counts=True)
+        self._estimate(ranks)
+        self._note_running(ranks)
+        if any(rank.status.held is not None for rank in ranks):
+            self._map_version = None
+            await self._go_on(calls, fence, epoch)
             return
         if not all(rank.status.is_open for rank in ranks):
             return
@@ -129,53 +128,53 @@
             # The step for which they are armed is about to begin.
             return
         if len({rank.status.version for rank in ranks}) != 1:
-            raise _Interrupted("ranks were seen around a switch")
-        await self._learn_map(grant, ranks)
+            raise RoundEnded("ranks were seen around a switch")
+        await self._learn_map(calls)
         target = self._target()
         if target is not None:
-            await self._change(grant, ranks, epoch, target)
+            await self._change(calls, fence, epoch, target)
 
-    async def _look(self, grant, ranks):
-        await self._ask_all(grant, ranks, {"counts": True}, _CALL_S)
-        for rank in ranks:
-            if rank.status is None:
-                raise _Interrupted(f"{rank.address} gives no state of its engine")
-        self._estimate(ranks)
-        running = sum(rank.status.running for rank in ranks) / len(ranks)
-        self._running += _RUNNING_GAIN * (running - self._running)
+    async def _go_on(self, calls, fence, epoch):
+        """Let a held group go on, whatever its ranks have prepared."""
+        versions = calls.next_versions()
+        if len(versions) == 1 and None not in versions:
+            await calls.complete(epoch)
+            return
+        # Two drivers gave orders at once, one of them frozen in between. Neither map
+        # can be had on all ranks any more; the one in force can, under a new version.
+        # A late order to arm is void after that: its version is prepared nowhere.
+        step = calls.held_step()
+        for rank in calls.ranks:
+            if rank.status.armed is not None:
+                await calls.order(rank, epoch, Disarm(rank.status.armed[0]))
+        version = self._next_version(fence)
+        layout = await self._layout_in_force(calls)
+        await calls.order_all(epoch, Prepare(version, layout))
+        await calls.arm_and_release(epoch, version, step, calls.holders())
+        log_event(
+            "map-change-settled",
+            level="warning",
+            group=self._group,
+            version=version,
+            step=step,
+            found=sorted(str(version) for version in versions),
+        )
 
-    def _common_epoch(self, ranks):
-        epochs = {rank.status.epoch for rank in ranks}
-        if len(epochs) != 1:
-            raise _Interrupted(f"ranks are in epochs {sorted(epochs)}")
-        return epochs.pop()
+    async def _layout_in_force(self, calls):
+        await calls.look(experts=True)
+        if any(rank.experts is None for rank in calls.ranks):
+            raise RoundEnded("not all ranks tell their experts")
+        return _layout_of(_map_of([rank.experts for rank in calls.ranks]))
 
-    async def _ask_all(self, grant, ranks, payload, timeout_s):
-        async with trio.open_nursery() as nursery:
-            for rank in ranks:
-                nursery.start_soon(self._ask, grant, rank, payload, timeout_s)
+    def _next_version(self, fence):
+        # A driver that was replaced may still have orders on the way. No two drivers
+        # use one version, since ranks don't compare what they have under it.
+        self._changes += 1
+        return fence * _VERSIONS_A_TERM + self._changes
 
-    async def _ask(self, grant, rank, payload, timeout_s):
-        rank.status = None
-        payload = {"fence": grant.number, **payload}
-        try:
-            reply = await self._client.json(
-                "POST", rank.address, RANK_PATH, payload, timeout_s, repeatable=True
-            )
-            said = reply.payload
-            if said["status"] is not None:
-                rank.status = RankStatus(*said["status"])
-            rank.counts = said.get("counts")
-            rank.experts = said.get("experts")
-            return said.get("progress")
-        except WireError as exc:
-            why = str(exc)
-        except (AttributeError, KeyError, TypeError, ValueError) as exc:
-            why = f"unreadable reply: {exc}"
-        log_event(
-            "rank-unreached", level="warning", address=str(rank.address), why=why[:200]
-        )
-        return None
+    def _note_running(self, ranks):
+        running = sum(rank.status.running for rank in ranks) / len(ranks)
+        self._running += _RUNNING_GAIN * (running - self._running)
 
     def _estimate(self, ranks):
         now = trio.current_time()
@@ -208,16 +207,17 @@
             if not estimate.observe(counts, from_s, until_s):
                 estimate.observe(counts, until_s - _ROUND_S / 2, until_s)
 
-    async def _learn_map(self, grant, ranks):
-        version = (ranks[0].status.epoch, ranks[0].status.version)
+    async def _learn_map(self, calls):
+        status = calls.ranks[0].status
+        version = (status.epoch, status.version)
         if self._map_version == version:
             return
-        await self._ask_all(grant, ranks, {"experts": True}, _CALL_S)
-        if any(rank.status is None or rank.experts is None for rank in ranks):
-            raise _Interrupted("not all ranks tell their experts")
-        if {(r.status.epoch, r.status.version) for r in ranks} != {version}:
-            raise _Interrupted("the map changed while it was read")
-        self._map = _map_of([rank.experts for rank in ranks])
+        await calls.look(experts=True)
+        if any(rank.experts is None for rank in calls.ranks):
+            raise RoundEnded("not all ranks tell their experts")
+        if {(r.status.epoch, r.status.version) for r in calls.ranks} != {version}:
+            raise RoundEnded("the map changed while it was read")
+        self._map = _map_of([rank.experts for rank in calls.ranks])
         self._map_version = version
 
     def _target(self):
@@ -244,19 +244,16 @@
     def _step_cost(self, pace):
         work_s = self._running * pace.per_request_s
         fixed_s = pace.step_s + work_s * (1 - pace.expert_share)
-        return StepCost(fixed_s, work_s * pace.expert_share, _COPY_COST)
+        return StepCost(fixed_s, work_s * pace.expert_share, _COPY_COST, _CHANGE_COST)
 
-    async def _change(self, grant, ranks, epoch, target):
+    async def _change(self, calls, fence, epoch, target):
         start_s = trio.current_time()
-        self._changes += 1
-        # A driver that was replaced may still have orders on the way. No two drivers
-        # use one version, since ranks don't compare what they have under it.
-        version = grant.number * _VERSIONS_A_TERM + self._changes
-        prepare = Prepare(version, _layout_of(target))
-        await self._order_all(grant, ranks, epoch, prepare)
+        version = self._next_version(fence)
+        await calls.order_all(epoch, Prepare(version, _layout_of(target)))
         prepared_s = trio.current_time()
-        step = await self._hold(grant, ranks, epoch)
-        await self._arm_and_release(grant, ranks, epoch, version, step, ranks[:1])
+        holder = self._holder(calls)
+        step = await self._hold(calls, holder, epoch)
+        await calls.arm_and_release(epoch, version, step, [holder])
         self._map, self._map_version = target, (epoch, version)
         log_event(
             "map-changed",
@@ -267,68 +264,22 @@
             switch_ms=round((trio.current_time() - prepared_s) * 1000),
         )
 
-    async def _hold(self, grant, ranks, epoch):
+    def _holder(self, calls):
+        # On another machine than the driver's: if that one freezes now, the process
+        # beside the holder notices, and completes the change.
+        others = [r for r in calls.ranks if r.address.host != self._own_host]
+        return (others or calls.ranks)[0]
+
+    async def _hold(self, calls, holder, epoch):
         for _ in range(_HOLD_TRIES):
-            seen = max(rank.status.step for rank in ranks if rank.status is not None)
+            seen = max(r.status.step for r in calls.ranks if r.status is not None)
             step = seen + _MARGIN_STEPS
-            progress = await self._order(grant, ranks[0], epoch, Hold(step))
+            progress = await calls.order(holder, epoch, Hold(step))
             if progress == Progress.DONE.value:
                 return step
             if progress != Progress.MISSED.value:
-                raise _Interrupted(f"the group may or may not be held at {step}")
-        raise _Interrupted("the group runs faster than it can be held")
-
-    async def _arm_and_release(self, grant, ranks, epoch, version, step, holders):
-        await self._order_all(grant, ranks, epoch, Arm(version, step))
-        for rank in ranks:
-            if rank.status.version != version and rank.status.armed != (version, step):
-                raise _Interrupted(f"{rank.address} is not armed for step {step}")
-        for rank in holders:
-            await self._order(grant, rank, epoch, Release(step))
-
-    async def _complete(self, grant, ranks, held, epoch):
-        """Finish a change that an earlier driver, or a lost answer, left held."""
-        steps = {rank.status.held for rank in held}
-        versions = {rank.status.prepared for rank in ranks}
-        log_event(
-            "map-change-found",
-            level="warning",
-            group=self._group,
-            steps=sorted(steps),
-            prepared=sorted(str(version) for version in versions),
-        )
-        if len(steps) != 1 or len(versions) != 1 or None in versions:
-            raise _Interrupted(f"held at {steps} with {versions} prepared")
-        step, version = steps.pop(), versions.pop()
-        await self._arm_and_release(grant, ranks, epoch, version, step, held)
-        self._map_version = None
-
-    async def _order_all(self, grant, ranks, epoch, order):
-        progress = {}
-
-        async def send(rank):
-            progress[rank] = await self._order(grant, rank, epoch, order)
-
-        async with trio.open_nursery() as nursery:
-            for rank in ranks:
-                nursery.start_soon(send, rank)
-        for rank in ranks:
-            if progress[rank] != Progress.DONE.value or rank.status is None:
-                raise _Interrupted(
-                    f"{type(order).__name__} at {rank.address}: {progress[rank]}"
-                )
-
-    async def _order(self, grant, rank, epoch, order):
-        held = self._lease.grant()
-        if held is None or held.number != grant.number:
-            # Another driver may give orders by now.
-            return None
-        payload = {"order": order_to_json(order), "epoch": epoch}
-        return await self._ask(grant, rank, payload, _ORDER_S)
-
-
-class _Interrupted(Exception):
-    """A round that can't go on; the next one looks anew."""
+                raise RoundEnded(f"the group may or may not be held at {step}")
+        raise RoundEnded("the group runs faster than it can be held")
 
 
 def _sum(one, other):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/members.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/members.py
@@ -1,9 +1,28 @@
 """The processes beside the ranks of one group."""
 
 from gooseberryyoke.membership.server_book import ServerBook, ServerState
+from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.wire import Address
 
-__all__ = ["GroupMembers"]
+__all__ = ["GroupMembers", "Member"]
+
+
+class Member(Record):
+    """
+    One rank of a group.
+
+    Parameters
+    ----------
+    address : Address
+        Of the process beside its engine.
+    engine : Address
+    """
+
+    __slots__ = ("address", "engine")
+
+    def __init__(self, address, engine):
+        self.address = address
+        self.engine = engine
 
 
 class GroupMembers:
@@ -52,13 +71,13 @@
         own = self._own()
         return None if own is None else own.service
 
-    def addresses(self):
+    def members(self):
         """
-        List the processes beside the group's ranks.
+        List the group's ranks.
 
         Returns
         -------
-        list of Address or None
+        list of Member or None
             By rank; None while not all are known.
         """
         own = self._own()
@@ -72,7 +91,7 @@
                 by_rank[place.rank] = entry
         if set(by_rank) != set(range(own.place.size)):
             return None
-        hosts = [
-            Address.parse(by_rank[rank].address).host for rank in range(own.place.size)
+        engines = [
+            Address.parse(by_rank[rank].address) for rank in range(own.place.size)
         ]
-        return [Address(host, self._port) for host in hosts]
+        return [Member(Address(engine.host, self._port), engine) for engine in engines]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_orders.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_orders.py
@@ -17,12 +17,12 @@
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import json_response, problem_response
 
-__all__ = ["RANK_PATH", "OrderReply", "RankOrders"]
+__all__ = ["RANK_PATH", "OrderReply", "RankOrders", "deliver"]
 
 RANK_PATH = "/internal/rank"
 
 _RETRY_S = 0.03
-_PREPARE_LIMIT_S = 5.0
+_PREPARE_LIMIT_S = 2.8
 _LIMIT_S = 1.2
 """For an order that needs no copy. Engines may leave several sendings unanswered."""
 
@@ -56,6 +56,11 @@
         self._engine = engine
         self._fence = 0
 
+    @property
+    def fence(self):
+        """The highest fencing number that a driver has shown here."""
+        return self._fence
+
     async def handle(self, request):
         """
         Serve the driver's calls.
@@ -107,28 +112,60 @@
         return said
 
     async def _carry_out(self, order, epoch, fence):
-        delivery = _Delivery(self._engine, order, epoch, fence)
-        limit_s = _PREPARE_LIMIT_S if isinstance(order, Prepare) else _LIMIT_S
-        with trio.move_on_after(limit_s):
-            while not await delivery.step():
-                await trio.sleep(_RETRY_S)
-        log_event(
-            "rank-order",
-            order=type(order).__name__.lower(),
-            epoch=epoch,
-            fence=fence,
-            sendings=delivery.sendings,
-            progress=delivery.progress.value,
-        )
-        return delivery.progress
+        progress, _ = await deliver(self._engine, order, epoch, fence)
+        return progress
+
+
+async def deliver(engine, order, epoch, fence):
+    """
+    Give an engine an order until its state shows what became of it.
+
+    Parameters
+    ----------
+    engine : object
+        See `RankOrders`.
+    order : Prepare, Hold, Arm or Release
+    epoch, fence : int
+
+    Returns
+    -------
+    progress : Progress
+        ``OPEN`` if it isn't known in time.
+    status : RankStatus or None
+        As it was seen last.
+    """
+    delivery = _Delivery(engine, order, epoch, fence)
+    limit_s = _PREPARE_LIMIT_S if isinstance(order, Prepare) else _LIMIT_S
+    with trio.move_on_after(limit_s):
+        while not await delivery.step():
+            await trio.sleep(_RETRY_S)
+    log_event(
+        "rank-order",
+        order=type(order).__name__.lower(),
+        epoch=epoch,
+        fence=fence,
+        sendings=delivery.sendings,
+        progress=delivery.progress.value,
+    )
+    return delivery.progress, delivery.status
 
 
 class _Delivery:
     """One order, sent until the engine's state shows what became of it."""
 
-    __slots__ = ("progress", "sendings", "_engine", "_order", "_epoch", "_fence", "_at")
+    __slots__ = (
+        "progress",
+        "sendings",
+        "status",
+        "_engine",
+        "_order",
+        "_epoch",
+        "_fence",
+        "_at",
+    )
 
     def __init__(self, engine, order, epoch, fence):
+        self.status = None
         self.progress = Progress.OPEN
         self.sendings = 0
         self._engine = engine
@@ -139,7 +176,7 @@
 
     async def step(self):
         """Look, and send if nothing shows that it was taken; True at the end."""
-        status = await self._engine.status()
+        status = self.status = await self._engine.status()
         if status is None:
             return False
         if status.epoch != self._epoch:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/tests/test_armed_groups.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/tests/test_armed_groups.py
@@ -4,11 +4,21 @@
 import trio
 import trio.testing
 
-from gooseberryyoke.expert.armed import Arm, Hold, RankStatus, Release
+from gooseberryyoke.expert.armed import Arm, Hold, Prepare, RankStatus, Release
 from gooseberryyoke.lease import Grant
+from gooseberryyoke.membership.server_book import (
+    RankPlace,
+    ServerEntry,
+    ServerState,
+)
 from gooseberryyoke.routing import ModelPace
-from gooseberryyoke_daemon.groups.armed_driver import ArmedDriver
-from gooseberryyoke_daemon.groups.rank_orders import RankOrders
+from gooseberryyoke_daemon.groups import (
+    ArmedDriver,
+    GroupMembers,
+    HoldWatch,
+    RankOrders,
+)
+from gooseberryyoke_daemon.groups.members import Member
 from gooseberryyoke_daemon.testing.rank_group import MixedMaps, RankGroup
 from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
@@ -39,25 +49,57 @@
     def __init__(self, nursery, group):
         self.group = group
         self.network = MemoryNetwork(latency_s=0.001)
-        self.addresses = [Address(f"10.0.0.{n}", 70) for n in range(group.size)]
+        self.members = [
+            Member(Address(f"10.0.0.{n}", 70), Address(f"10.0.0.{n}", 80))
+            for n in range(group.size)
+        ]
+        self.orders, self.scopes = {}, {}
         self._nursery = nursery
 
     async def start(self):
         await self._nursery.start(self.group.run)
-        for number, address in enumerate(self.addresses):
-            orders = RankOrders(self.group.engine(number))
-            listeners = await self.network.host(address.host).listen(address)
-            await self._nursery.start(HttpServer(orders.handle).run, listeners)
+        for number in range(self.group.size):
+            await self.start_process(number)
+
+    async def start_process(self, number):
+        address = self.members[number].address
+        orders = RankOrders(self.group.engine(number))
+        listeners = await self.network.host(address.host).listen(address)
+        self.orders[number] = orders
+        self.scopes[number] = trio.CancelScope()
+        await self._nursery.start(self._serve, number, orders, listeners)
+
+    async def _serve(self, number, orders, listeners, task_status):
+        with self.scopes[number]:
+            await HttpServer(orders.handle).run(listeners, task_status=task_status)
+
+    def engine_at(self, address):
+        engines = [member.engine for member in self.members]
+        return self.group.engine(engines.index(address))
+
+    def watch(self, number):
+        """Start the watch beside one rank."""
+        watch = HoldWatch(
+            "g",
+            self.group.engine(number),
+            lambda: self.members,
+            HttpClient(self.network.host(f"10.0.0.{number}")),
+            lambda: self.orders[number].fence,
+            self.engine_at,
+        )
+        self._nursery.start_soon(watch.run)
 
     def drive(self, number):
         """Start a driver; give its lease and the scope that ends it."""
         lease, scope = Lease(number), trio.CancelScope()
         driver = ArmedDriver(
             "g",
-            lambda: self.addresses,
+            lambda: self.members,
             HttpClient(self.network.host(f"10.9.0.{number}")),
             lease,
             lambda: PACE,
+            self.engine_at,
+            f"10.9.0.{number}",
         )
         self._nursery.start_soon(self._run, driver, scope)
         return lease, scope
@@ -81,6 +123,9 @@
                 await main(session)
                 nursery.cancel_scope.cancel()
 
+    # The order in which trio runs tasks that are ready is drawn as well: with it the
+    # whole schedule follows from the seed.
+    trio._core._run._r.seed(group.seed)
     trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
@@ -111,14 +156,49 @@
         run(main, RankGroup(seed, lost_share=0.35))
 
 
-@pytest.mark.parametrize("seed", range(25))
+def test_a_watch_completes_what_a_frozen_driver_left_held():
+    # The driver freezes between hold and release. Its lease runs for seconds; the
+    # group's streams are late after a tenth of a second, and cut after two.
+    async def main(session):
+        group = session.group
+        for number in range(group.size):
+            session.watch(number)
+        _, scope = session.drive(1)
+        await session.until(lambda: any(rank.held for rank in group.ranks))
+        scope.cancel()
+        stuck_at = group.step
+        await session.until(lambda: group.step > stuck_at + 8, limit_s=1.5)
+        assert len({rank.version for rank in group.ranks}) == 1
+
+    run(main, RankGroup(4))
+
+
+def test_an_engine_is_ordered_directly_while_the_process_beside_it_is_gone():
+    # The process beside a rank ends just after the group was held. The engine goes
+    # on, and its group would wait until the process has started again.
+    async def main(session):
+        group = session.group
+        session.drive(1)
+        await session.until(lambda: any(rank.held for rank in group.ranks))
+        session.scopes[2].cancel()
+        stuck_at = group.step
+        await session.until(lambda: group.step > stuck_at + 8, limit_s=2.5)
+        assert {rank.version for rank in group.ranks} != {0}
+
+    run(main, RankGroup(5))
+
+
+@pytest.mark.parametrize("seed", range(40))
 def test_drivers_that_are_killed_frozen_and_doubled_never_mix_maps(seed):
     # Drivers end at any moment, also between hold and release; an old one goes on
-    # beside its successor; orders are lost and late; the group breaks and forms anew.
+    # beside its successor; orders are lost and late; the group breaks and forms anew;
+    # the processes beside the ranks end and start, and complete what they find held.
     # RankGroup raises as soon as a step begins on two maps.
     async def main(session):
         rng, group = Random(seed), session.group
         drivers, number = [], 0
+        for rank in range(group.size):
+            session.watch(rank)
         for _ in range(30):
             number += 1
             drivers.append(session.drive(number))
@@ -131,11 +211,17 @@
                 group.crash(rng.uniform(0.1, 1.0))
             elif chance < 0.8:
                 group.is_idle = not group.is_idle
+            elif chance < 0.9:
+                rank = rng.randrange(group.size)
+                session.scopes[rank].cancel()
+                await trio.sleep(rng.uniform(0.0, 1.5))
+                await session.start_process(rank)
         for _, scope in drivers:
             scope.cancel()
         group.is_idle, group.lost_share = False, 0.0
         session.drive(number + 1)
-        await trio.sleep(13.0)
+        # The latest order that is still on its way, then the settling.
+        await trio.sleep(15.0)
         before = group.step
         await trio.sleep(5.0)
         assert group.step - before > 50, "the group is still held"
@@ -180,6 +266,34 @@
     run(main, RankGroup(3))
 
 
+def test_a_group_that_two_drivers_left_half_armed_goes_on():
+    # An old driver holds the group and arms two ranks; the new one, which looked
+    # before, has prepared another map on the two others. Neither change can be
+    # completed, and the group stood still for good.
+    async def main(session):
+        group = session.group
+        one, other = [[[0, 4], [1], [2], [3]]], [[[0], [1, 5], [2], [3]]]
+        for number in range(4):
+            layout, version = (one, 10_005) if number % 2 else (other, 20_001)
+            group.apply(number, Prepare(version, _with_all(layout)), 1, 0, 1)
+        await trio.sleep(1.0)
+        step = group.step + 2
+        group.apply(0, Hold(step), 1, 1, 1)
+        for number in (1, 3):
+            group.apply(number, Arm(10_005, step), 1, 1, 1)
+        await trio.sleep(1.0)
+        assert group.step == step - 1
+        session.drive(3)
+        await session.until(lambda: group.step > step + 5, limit_s=3.0)
+
+    def _with_all(layout):
+        held = {expert for rank in layout[0] for expert in rank}
+        rest = [expert for expert in range(8) if expert not in held]
+        return [[*layout[0][:3], [*layout[0][3], *rest]]]
+
+    run(main, RankGroup(6))
+
+
 def test_an_old_driver_is_refused_beside_its_successor():
     async def main(session):
         orders = RankOrders(session.group.engine(0))
@@ -216,3 +330,23 @@
 
     status = RankStatus(1, 0, 4, True, 3, 7, 0).replace(**changes)
     assert progress_of(order, status).value == progress
+
+
+def test_members_are_known_once_all_ranks_have_announced_themselves():
+    def announced(rank, born_ms=1, state=ServerState.READY, group="g"):
+        place = RankPlace(group, 1, rank, 2, True)
+        host = f"10.0.0.{rank}" if group == "g" else f"10.1.0.{rank}"
+        id, address = f"i-{group}-{rank}-{born_ms}", f"{host}:80"
+        return ServerEntry(id, born_ms, 1, "s", address, "a", 6, state, place)
+
+    members = GroupMembers("10.0.0.0:80", 70)
+    assert members.group() is None
+    members.take([announced(0)])
+    assert (members.group(), members.service()) == ("g", "s")
+    assert members.members() is None
+    members.take([announced(1), announced(1, group="other")])
+    expected = [
+        Member(Address(f"10.0.0.{rank}", 70), Address(f"10.0.0.{rank}", 80))
+        for rank in range(2)
+    ]
+    assert members.members() == expected
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
@@ -3,7 +3,14 @@
 import trio
 from returns.result import Failure
 
-from gooseberryyoke.lease import Grant, Lease, LeaseView, Wait, lease_key
+from gooseberryyoke.lease import (
+    Grant,
+    Lease,
+    LeaseView,
+    Wait,
+    lease_from_value,
+    lease_key,
+)
 from gooseberryyoke.register import Conflict
 from gooseberryyoke_daemon.logs import log_event
 
@@ -32,16 +39,33 @@
         Spreads the waiting processes.
     ttl_s : float
         Length of a term.
+    lineage : str, optional
+        See `LeaseView`.
+
+    Attributes
+    ----------
+    seen_number : int
+        Of the lease at the last look, whoever holds it.
     """
 
-    def __init__(self, registers, name, holder, now, rng, ttl_s=_DEFAULT_TTL_S):
+    def __init__(
+        self,
+        registers,
+        name,
+        holder,
+        now,
+        rng,
+        ttl_s=_DEFAULT_TTL_S,
+        lineage=None,
+    ):
+        self.seen_number = 0
         self._registers = registers
         self._name = name
         self._holder = holder
         self._now = now
         self._rng = rng
         self._ttl_s = ttl_s
-        self._view = LeaseView(holder, ttl_s)
+        self._view = LeaseView(holder, ttl_s, lineage)
         self._number = 0
         self._until_s = _NEVER_S
         self._is_released = False
@@ -87,6 +111,7 @@
         found = await self._registers.read(key, renewal_s)
         if isinstance(found, Failure):
             return self._rng.uniform(0, renewal_s)
+        self.seen_number = lease_from_value(found.unwrap().value).number
         decision = self._view.decide(found.unwrap(), self._now())
         if isinstance(decision, Wait):
             self._lose()
@@ -109,7 +134,7 @@
             return
         if lease.number != self._number:
             log_event("lease-taken", name=self._name, number=lease.number)
-        self._number = lease.number
+        self._number = self.seen_number = lease.number
         self._until_s = start_s + self._ttl_s
 
     def _lose(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
@@ -140,3 +140,31 @@
         assert again.number > number
 
     run(main)
+
+
+def test_a_process_that_starts_again_takes_its_earlier_life_s_lease_at_once():
+    # All processes lose power. The one that held the lease comes back within a
+    # second; without its lineage it would wait for the end of its own old term.
+    async def main(replicas, start):
+        client = await replicas.client("a")
+
+        def keeper(life):
+            return LeaseKeeper(
+                client,
+                "group",
+                f"a/{life}",
+                trio.current_time,
+                replicas.rng,
+                TTL_S,
+                "a/",
+            )
+
+        first, second = keeper(1), keeper(2)
+        await first.step()
+        await second.step()
+        assert (first.grant().number, second.grant().number) == (1, 2)
+        other = await start("b")
+        await trio.sleep(1.0)
+        assert other.number is None
+
+    run(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
@@ -4,7 +4,14 @@
 
 import trio
 
-from gooseberryyoke.expert.armed import Arm, Hold, Prepare, RankStatus, Release
+from gooseberryyoke.expert.armed import (
+    Arm,
+    Disarm,
+    Hold,
+    Prepare,
+    RankStatus,
+    Release,
+)
 from gooseberryyoke_daemon.groups.rank_orders import OrderReply
 
 __all__ = ["MixedMaps", "RankGroup"]
@@ -60,6 +67,7 @@
     """
 
     def __init__(self, seed, size=4, experts=8, lost_share=0.0, late_s=12.0):
+        self.seed = seed
         self.rng = Random(seed)
         self.size = size
         self.experts = experts
@@ -212,6 +220,13 @@
         rank.armed = (order.version, order.step)
         return OrderReply.TAKEN
 
+    def _disarm(self, rank, order):
+        if rank.version == order.version:
+            return OrderReply.REFUSED
+        if rank.armed is not None and rank.armed[0] == order.version:
+            rank.armed = None
+        return OrderReply.TAKEN
+
     def _release(self, rank, order):
         if rank.held == order.step:
             rank.held = None
@@ -248,6 +263,7 @@
     Prepare: RankGroup._prepare,
     Hold: RankGroup._hold,
     Arm: RankGroup._arm,
+    Disarm: RankGroup._disarm,
     Release: RankGroup._release,
 }
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/armed.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/armed.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Arm",
+    "Disarm",
     "Hold",
     "Prepare",
     "Progress",
@@ -123,6 +124,15 @@
         self.step = step
 
 
+class Disarm(Record):
+    """Stay with the map in force."""
+
+    __slots__ = ("version",)
+
+    def __init__(self, version):
+        self.version = version
+
+
 class Release(Record):
     """Let the group begin the step that it was held before."""
 
@@ -150,7 +160,7 @@
 
     Parameters
     ----------
-    order : Prepare, Hold, Arm or Release
+    order : Prepare, Hold, Arm, Disarm or Release
     status : RankStatus
 
     Returns
@@ -186,12 +196,20 @@
     return Progress.MISSED if passed else Progress.OPEN
 
 
+@progress_of.register
+def _(order: Disarm, status):
+    if status.version == order.version:
+        return Progress.MISSED
+    is_armed = status.armed is not None and status.armed[0] == order.version
+    return Progress.OPEN if is_armed else Progress.DONE
+
+
 @progress_of.register
 def _(order: Release, status):
     return Progress.OPEN if status.held == order.step else Progress.DONE
 
 
-_ORDERS = {cls.__name__.lower(): cls for cls in (Prepare, Hold, Arm, Release)}
+_ORDERS = {cls.__name__.lower(): cls for cls in (Prepare, Hold, Arm, Disarm, Release)}
 
 
 def order_to_json(order):
@@ -200,7 +218,7 @@
 
     Parameters
     ----------
-    order : Prepare, Hold, Arm or Release
+    order : Prepare, Hold, Arm, Disarm or Release
 
     Returns
     -------
@@ -221,7 +239,7 @@
 
     Returns
     -------
-    Prepare, Hold, Arm or Release
+    Prepare, Hold, Arm, Disarm or Release
 
     Raises
     ------
--- a/packages/gooseberryyoke/src/gooseberryyoke/expert/replicas.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/expert/replicas.py
@@ -40,11 +40,14 @@
     copy_cost : float
         Part of a step's time that one copy must save to be made. Copies slow all
         steps of a group down while they are made, and what is in demand changes.
+    change_cost : float
+        Part of a step's time that a change must save besides.
     """
 
-    __slots__ = ("fixed_s", "expert_s", "copy_cost")
+    __slots__ = ("fixed_s", "expert_s", "copy_cost", "change_cost")
 
-    def __init__(self, fixed_s, expert_s, copy_cost):
+    def __init__(self, fixed_s, expert_s, copy_cost, change_cost=0.0):
+        self.change_cost = change_cost
         self.fixed_s = fixed_s
         self.expert_s = expert_s
         self.copy_cost = copy_cost
@@ -102,11 +105,14 @@
         for holders, layer_loads in zip(expert_map.layers, loads, strict=True)
     ]
     skew = sum(layer.skew for layer in layers) / len(layers)
-    planned = [
-        layer.plan(lambda less: cost.saved(skew, less, len(layers)), cost.copy_cost)
-        for layer in layers
-    ]
-    return ExpertMap(expert_map.rank_count, planned)
+
+    def saved(less):
+        return cost.saved(skew, less, len(layers))
+
+    plans = [layer.plan(saved, cost.copy_cost) for layer in layers]
+    if sum(worth for _, worth in plans) <= cost.change_cost:
+        return expert_map
+    return ExpertMap(expert_map.rank_count, [holders for holders, _ in plans])
 
 
 class _Layer:
@@ -132,7 +138,7 @@
         return max(self._rank_loads) * len(self._rank_loads) / total if total else 1.0
 
     def plan(self, saved, copy_cost):
-        """Take the number of copies for which savings exceed costs by most."""
+        """Give the layer after the copies that are worth most, and their worth."""
         start, best, worth = self.skew, self._snapshot(), 0.0
         for copies in range(1, _MOST_COPIES + 1):
             if not self._relieve_slowest():
@@ -140,7 +146,7 @@
             gain = saved(start - self.skew) - copy_cost * copies
             if gain > worth:
                 best, worth = self._snapshot(), gain
-        return best
+        return best, worth
 
     def _snapshot(self):
         return [tuple(sorted(ranks)) for ranks in self._holders]
--- a/packages/gooseberryyoke/src/gooseberryyoke/lease/lease.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/lease/lease.py
@@ -134,6 +134,9 @@
         Identity of this life of the process.
     ttl_s : float
         Length of its own terms.
+    lineage : str, optional
+        What the holders of this process's earlier lives begin with. A lease that one
+        of them holds is free: the process has ended, or this one would not run.
 
     Notes
     -----
@@ -141,9 +144,10 @@
     the register's version, which is later than the start of the holder's write.
     """
 
-    __slots__ = ("_holder", "_ttl_s", "_version", "_seen_s")
+    __slots__ = ("_holder", "_ttl_s", "_lineage", "_version", "_seen_s")
 
-    def __init__(self, holder, ttl_s):
+    def __init__(self, holder, ttl_s, lineage=None):
+        self._lineage = lineage
         self._holder = holder
         self._ttl_s = ttl_s
         self._version = None
@@ -171,6 +175,9 @@
         if lease.holder == self._holder:
             return Renew(lease.replace(ttl_s=self._ttl_s))
         until_s = self._seen_s + lease.ttl_s * _CLOCK_DRIFT
-        if lease.holder and now < until_s:
+        if lease.holder and now < until_s and not self._is_own_past(lease):
             return Wait(until_s)
         return Take(Lease(self._holder, lease.number + 1, self._ttl_s))
+
+    def _is_own_past(self, lease):
+        return self._lineage is not None and lease.holder.startswith(self._lineage)
