--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/command.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/command.py
@@ -3,6 +3,7 @@
 import click
 
 from gooseberryyoke_client.commands.check import check
+from gooseberryyoke_client.commands.explain import explain
 from gooseberryyoke_client.commands.history import history
 from gooseberryyoke_client.commands.keys import keys
 from gooseberryyoke_client.commands.roll import roll
@@ -32,7 +33,7 @@
         ctx.obj = Session(HttpTransport())
 
 
-for _command in (keys, check, sign, roll, show, history, status, watch):
+for _command in (keys, check, sign, roll, show, history, status, watch, explain):
     gooseberryyoke.add_command(_command)
 
 
--- /dev/null
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/commands/explain.py
@@ -0,0 +1,48 @@
+"""``gooseberryyoke explain``."""
+
+import click
+from returns.result import Failure
+
+from gooseberryyoke_client.answer import Answer, mistakes_answer
+from gooseberryyoke_client.exit_codes import ExitCode
+from gooseberryyoke_client.files import read_text
+from gooseberryyoke_client.options import gives_answer
+from gooseberryyoke_client.story import read_lines, tell_story
+
+__all__ = ["explain"]
+
+_TOLD_APART = ("time", "level", "event", "node")
+
+
+@click.command()
+@click.argument("request")
+@click.argument("logs", nargs=-1, required=True, metavar="LOG...")
+@gives_answer
+def explain(session, request, logs):
+    """Tell one request's story from the logs of any number of processes."""
+    lines, skipped = [], 0
+    for path in logs:
+        text = read_text(path)
+        if isinstance(text, Failure):
+            return mistakes_answer(text.failure(), path)
+        found, left = read_lines(text.unwrap().splitlines())
+        lines += found
+        skipped += left
+    story = tell_story(request, lines, skipped)
+    shown = [_shown(line) for line in story.lines]
+    if not shown:
+        shown = [f"no line of request {request} in {len(lines)} lines"]
+    if skipped:
+        shown.append(f"({skipped} lines are no log lines)")
+    payload = {"lines": [line.fields for line in story.lines], "skipped": skipped}
+    code = ExitCode.DONE if story.lines else ExitCode.MISTAKES
+    return Answer(code, shown, payload)
+
+
+def _shown(line):
+    fields = line.fields
+    rest = " ".join(
+        f"{name}={value}" for name, value in fields.items() if name not in _TOLD_APART
+    )
+    at = fields["time"][11:23]
+    return f"{at} {fields.get('node', '-')} {fields['event']} {rest}".rstrip()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -37,6 +37,8 @@
 """Of a group. After a driver's death its group keeps its map for so long; renewals
 cost two writes to each replica in a third of it."""
 _GROUP_LOOK_S = 0.2
+_METRICS_AFTER_S = 8.0
+"""From the start, when the requests that waited for it have been served."""
 _CONTROL_STOP_S = 0.3
 """For calls in flight at a control process that ends."""
 
@@ -150,6 +152,10 @@
             network.datagrams(settings.node.internal),
         )
 
+    async def _load_metrics(self):
+        await sleep(_METRICS_AFTER_S)
+        self.node.observer.load()
+
     def addresses(self, data_centre):
         """
         List where callers may connect; see `Roster`.
@@ -191,6 +197,7 @@
             await nursery.start(self._sharing.run)
             task_status.started()
             log_event("started", role="gateway")
+            nursery.start_soon(self._load_metrics)
 
     async def stop(self, times):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -10,6 +10,7 @@
 from gooseberryyoke_daemon.gateway.call import ServerCalls
 from gooseberryyoke_daemon.gateway.exchange import Exchange
 from gooseberryyoke_daemon.gateway.identify import Identify
+from gooseberryyoke_daemon.gateway.observer import GatewayObserver
 from gooseberryyoke_daemon.gateway.relay import Relay
 from gooseberryyoke_daemon.gateway.warm_up import WarmUp
 from gooseberryyoke_daemon.logs import log_event
@@ -69,13 +70,16 @@
         self._servers = servers
         self._names = names
         budget = budget or RetryBudget()
+        self.observer = GatewayObserver()
         warm_up = WarmUp(trio.current_time())
         self._admit = Admit(servers)
         self._pipeline = Pipeline(
             [
                 Identify(lambda: watcher.table, names, rng, warm_up),
                 self._admit,
-                Relay(servers, ServerCalls(client, names), budget, warm_up),
+                Relay(
+                    servers, ServerCalls(client, names), budget, warm_up, self.observer
+                ),
             ]
         )
         self._server = HttpServer(self.handle, Limits())
@@ -102,6 +106,25 @@
             await self._server.run(listeners, task_status=task_status)
             nursery.cancel_scope.cancel()
 
+    def render_metrics(self):
+        """
+        Show the metrics of this gateway.
+
+        Returns
+        -------
+        bytes or None
+            In text; None before they are loaded.
+        """
+        metrics = self.observer.metrics
+        if metrics is None:
+            return None
+        table = self._watcher.table
+        metrics.set("bundle_version", 0 if table is None else table.version)
+        metrics.set("requests_in_flight", self._server.exchanges)
+        for service, count in self._servers.count_by_service().items():
+            metrics.set("servers", count, service=service)
+        return metrics.render()
+
     def use_limits(self, table):
         """
         Take the limits on callers of a table.
@@ -155,6 +178,7 @@
         if not isinstance(result, Failure):
             return result.unwrap()
         refusal = result.failure()
+        self.observer.refused(exchange, refusal)
         log_event(
             "request-refused",
             request=number,
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -0,0 +1,84 @@
+"""Counts and times of a gateway's requests, for its metrics."""
+
+__all__ = ["GatewayObserver"]
+
+_HELD = 2000
+"""Requests whose figures are kept until the metrics are loaded."""
+
+
+class GatewayObserver:
+    """
+    Puts each answer and refusal into the metrics of the process.
+
+    The metrics' library takes a third of a second to load on a small instance, which a
+    process that has just started does not have: what is observed before `load` is kept.
+
+    Attributes
+    ----------
+    metrics : Metrics or None
+    """
+
+    def __init__(self):
+        self.metrics = None
+        self._held = []
+
+    def load(self):
+        """Load the metrics, and put in what was observed before."""
+        from gooseberryyoke_daemon.metrics import Metrics
+
+        self.metrics = Metrics()
+        held, self._held = self._held, []
+        for observation in held:
+            self._put(*observation)
+
+    def answered(self, exchange, first_s, sent_s, now):
+        """
+        Note a whole answer.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        first_s : float or None
+            From sending to the first of the answer.
+        sent_s, now : float
+            On trio's clock.
+        """
+        labels = _labels(exchange)
+        wait_s = sent_s - exchange.received_s
+        self._put("observe", "queue_wait_seconds", labels, wait_s)
+        if first_s is not None:
+            self._put("observe", "first_token_seconds", labels, wait_s + first_s)
+        self._put("observe", "answer_seconds", labels, now - exchange.received_s)
+        margin_s = exchange.deadline_s - now
+        self._put("observe", "deadline_margin_seconds", labels, margin_s)
+        self._put("count", "verdicts_total", {**labels, "verdict": "ran"})
+        for _ in range(exchange.sends - 1):
+            self._put("count", "retries_total", labels)
+
+    def refused(self, exchange, refusal):
+        """
+        Note a refusal.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        refusal : Refusal
+        """
+        labels = _labels(exchange)
+        verdict = {**labels, "verdict": refusal.verdict.value}
+        self._put("count", "verdicts_total", verdict)
+        self._put("count", "refusals_total", {**labels, "reason": refusal.reason})
+
+    def _put(self, kind, name, labels, *values):
+        if self.metrics is not None:
+            getattr(self.metrics, kind)(name, *values, **labels)
+        elif len(self._held) < _HELD:
+            self._held.append((kind, name, labels, *values))
+
+
+def _labels(exchange):
+    account, route = exchange.account, exchange.route
+    return {
+        "account": None if account is None else account.name,
+        "request_class": None if route is None else route.name,
+    }
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -35,11 +35,13 @@
         Of second attempts, which would otherwise multiply the load of servers that
         are sick.
     warm_up : WarmUp
+    observer : GatewayObserver
     """
 
-    __slots__ = ("_servers", "_calls", "_budget", "_warm_up")
+    __slots__ = ("_servers", "_calls", "_budget", "_observer", "_warm_up")
 
-    def __init__(self, servers, calls, budget, warm_up):
+    def __init__(self, servers, calls, budget, warm_up, observer):
+        self._observer = observer
         self._warm_up = warm_up
         self._servers = servers
         self._calls = calls
@@ -113,6 +115,7 @@
             That brought the end of the answer.
         """
         now = trio.current_time()
+        self._observer.answered(exchange, call.first_s, call.sent_s, now)
         log_event(
             "request-answered",
             request=exchange.number,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -1,5 +1,7 @@
 """The backend servers as this gateway sees them."""
 
+from collections import Counter
+
 import trio
 
 from gooseberryyoke.membership.server_book import ServerBook, ServerState
@@ -210,6 +212,21 @@
             if is_all or id in counts:
                 server.load.share(gateway, int(counts.get(id, 0)), now)
 
+    def count_by_service(self):
+        """
+        Count the servers that take requests.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        ready = [
+            server.entry.service
+            for server in self._by_id.values()
+            if server.entry.state is ServerState.READY
+        ]
+        return dict(Counter(ready))
+
     def has_any(self):
         """Tell whether any server takes work."""
         return any(s.entry.state is ServerState.READY for s in self._by_id.values())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -476,3 +476,20 @@
         assert session.node.counts["handler-failed"] == 0
 
     run_routed(main)
+
+
+def test_metrics_hold_what_was_observed_before_they_were_loaded():
+    async def main(session):
+        await session.add("i-1", whole(b"lanes"))
+        await session.ask("/read/x")
+        await session.ask("/none/x")
+        assert session.node.render_metrics() is None
+        session.node.observer.load()
+        await session.ask("/read/x")
+        text = session.node.render_metrics().decode()
+        labels = 'account="deck",class="read"'
+        assert f"gooseberryyoke_answer_seconds_count{{{labels}}} 2" in text
+        assert 'reason="no-route"' in text
+        assert 'gooseberryyoke_servers{service="s"} 1' in text
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/logs/json_lines.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/logs/json_lines.py
@@ -12,7 +12,7 @@
 _OWN_FIELDS = frozenset(("time", "level", "event", "traceback"))
 
 
-def configure_logs(level="info", stream=None, **always):
+def configure_logs(level="info", stream=None, budget=None, **always):
     """
     Send all logs of the process to a stream, one JSON object a line.
 
@@ -20,15 +20,20 @@
     ----------
     level : str
         The least of `LOG_LEVELS` that is written.
-    stream : text stream, optional
+    stream : text stream or PipeWriter, optional
         Standard error if left out.
+    budget : LineBudget, optional
+        Bounds the lines of each event; all are written without it.
     **always
         Fields of every line, such as the name of the process.
     """
     output = sys.stderr if stream is None else stream
 
     def _write(message):
-        output.write(_line(message.record, always))
+        record = message.record
+        if budget is not None and not _admit(budget, record, output, always):
+            return
+        output.write(_line(record, always))
         output.flush()
 
     logger.remove()
@@ -44,6 +49,22 @@
     )
 
 
+def _admit(budget, record, output, always):
+    now = record["time"].timestamp()
+    left_out = budget.take_left_out(now)
+    if left_out:
+        line = {"event": "lines-left-out", **always, "lines": left_out}
+        output.write(orjson.dumps({**_stamp(record), **line}).decode() + "\n")
+    return budget.admit(record["message"], now)
+
+
+def _stamp(record):
+    return {
+        "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
+        "level": record["level"].name.lower(),
+    }
+
+
 def log_event(event, level="info", **fields):
     """
     Log an event.
@@ -62,12 +83,7 @@
 
 
 def _line(record, always):
-    line = {
-        "time": record["time"].astimezone(UTC).isoformat(timespec="milliseconds"),
-        "level": record["level"].name.lower(),
-        "event": record["message"],
-        **always,
-    }
+    line = {**_stamp(record), "event": record["message"], **always}
     for name, value in record["extra"].items():
         line[f"field_{name}" if name in _OWN_FIELDS else name] = value
     if record["exception"] is not None:
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_waiting.py
@@ -100,3 +100,12 @@
     # requests of eight seconds are late as well.
     assert replay(by_line) > 0.95
     assert replay(by_arrival) < 0.6
+
+
+def test_a_fresh_request_behind_many_fresh_ones_is_told_at_once():
+    # Each of them could be on time with a place now; the last one in line can't, and
+    # would learn so only after its callers' longest wait.
+    line = busy_line(5, 10.0)
+    for _ in range(9):
+        assert line.admit(waiter(10.0), 10.0) is None or len(line) >= 8
+    assert line.admit(waiter(10.0), 10.0) > 1.0
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -115,9 +115,17 @@
         -------
         float
         """
+        return (len(self._waiters) + 1) / self._rate(now, least_rate)
+
+    def _rate(self, now, least_rate):
         self._drop_old(now)
-        rate = max(least_rate, len(self._begun) / _RATE_WINDOW_S)
-        return (len(self._waiters) + 1) / rate
+        return max(least_rate, len(self._begun) / _RATE_WINDOW_S)
+
+    def _will_be_on_time(self, waiter, now, least_rate):
+        # The punctual go first, so that only they are before it.
+        ahead = sum(other.can_be_on_time(now) for other in self._waiters)
+        wait_s = (ahead + 1) / self._rate(now, least_rate)
+        return waiter.can_be_on_time(now + wait_s)
 
     def admit(self, waiter, now, least_rate=1.0):
         """
@@ -142,7 +150,9 @@
         would be the end for certain.
         """
         wait_s = self.predicted_wait_s(now, least_rate)
-        is_hopeless = wait_s > _LONGEST_WAIT_S and not waiter.can_be_on_time(now)
+        is_hopeless = wait_s > _LONGEST_WAIT_S and not self._will_be_on_time(
+            waiter, now, least_rate
+        )
         if is_hopeless and not waiter.is_last_try:
             return min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
         self._waiters.append(waiter)
