--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/story.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/story.py
@@ -8,8 +8,10 @@
 
 __all__ = ["LogLine", "Story", "read_lines", "tell_story"]
 
-_AROUND_S = 5.0
-"""What a process believed is told from this long before a request's first line."""
+_BEFORE_S = 5.0
+_AFTER_S = 1.0
+"""What a process believed is told from so long before a request's first line until so
+long after its last one."""
 _BELIEFS = frozenset(
     (
         "control-lost",
@@ -119,8 +121,8 @@
         return Story([], skipped)
     nodes = {line.fields.get("node") for line in own}
     servers = {line.fields["server"] for line in own if line.fields.get("server")}
-    first_s = min(line.at_s for line in own) - _AROUND_S
-    last_s = max(line.at_s for line in own)
+    first_s = min(line.at_s for line in own) - _BEFORE_S
+    last_s = max(line.at_s for line in own) + _AFTER_S
 
     def bears(line):
         fields = line.fields
--- a/tools/docs/log_events.py
+++ b/tools/docs/log_events.py
@@ -6,6 +6,7 @@
 __all__ = ["find_events", "log_events_page"]
 
 _ROOT = Path(__file__).parents[2]
+_FOLDERS = ("packages", "platform")
 _DEFAULT_LEVEL = "info"
 
 
@@ -61,7 +62,8 @@
     str
     """
     rows = {}
-    for path in sorted((_ROOT / "packages").rglob("*.py")):
+    paths = [path for name in _FOLDERS for path in (_ROOT / name).rglob("*.py")]
+    for path in sorted(paths):
         if "tests" in path.parts:
             continue
         for event, level, fields in find_events(path.read_text(encoding="utf-8")):
--- a/tools/docs/tests/test_operations_page.py
+++ b/tools/docs/tests/test_operations_page.py
@@ -119,7 +119,8 @@
 def test_each_event_and_reason_that_the_page_explains_stands_in_the_code():
     code = "".join(
         path.read_text("utf-8")
-        for path in (PAGE.parents[1] / "packages").rglob("*.py")
+        for folder in ("packages", "platform")
+        for path in (PAGE.parents[1] / folder).rglob("*.py")
         if "tests" not in path.parts
     )
     words = set(PAGE.read_text("utf-8").split("`"))
