--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -13,7 +13,6 @@
 __all__ = ["Call", "CallFailed", "ServerCalls"]
 
 _MISDIRECTED = 421
-_RESUMED_PRIORITY = 1
 _PUNCTUAL_PRIORITY = 2
 _LATE_PRIORITY = 6
 _LAST_PRIORITY = 9
@@ -157,11 +156,16 @@
 
 
 def _priority(exchange, last_event_id):
-    """Tell a server's queue what to admit first: broken streams, then the punctual."""
-    if last_event_id is not None:
-        return _RESUMED_PRIORITY
-    late = _LATE_PRIORITY if exchange.is_late else _PUNCTUAL_PRIORITY
-    return min(_LAST_PRIORITY, late + exchange.priority)
+    """
+    Tell a server's queue what to admit first: those who can still be on time.
+
+    A stream that broke has paused for too long to be on time. When a group breaks,
+    some fifty of them come to the other one at once; put first, they made every
+    fresh request late for seconds.
+    """
+    is_late = exchange.is_late or last_event_id is not None
+    base = _LATE_PRIORITY if is_late else _PUNCTUAL_PRIORITY
+    return min(_LAST_PRIORITY, base + exchange.priority)
 
 
 class ServerCalls:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -205,7 +205,9 @@
         exchange.verdict = exchange.verdict.then(exc.verdict)
         now = trio.current_time()
         if exc.reason == "server-refused":
-            server.health.was_full(now)
+            self._servers.note_refusal(server)
+        elif exc.reason == "answer-stalled":
+            self._servers.shun_group(server)
         elif exc.reason != "server-error":
             server.health.failed(now)
             server.pace.observe(now - exchange.received_s, now)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -18,6 +18,10 @@
 __all__ = ["Server", "Servers"]
 
 _FORGET_S = 150.0
+_FULL_PART = 0.75
+_GROUP_SHUN_S = 0.4
+"""A broken group forms anew in half a second once its rank is back; one request in so
+long finds out."""
 _SHARE_LIFE_S = 3.0
 _USUAL_ANSWER_S = 2.0
 """A draft of 28 events at a busy engine."""
@@ -35,6 +39,11 @@
         self.health = ServerHealth()
         self.pace = ServerPace()
 
+    @property
+    def is_open(self):
+        """Whether its group makes steps; true for a server without a group."""
+        return self.entry.place is None or self.entry.place.is_open
+
 
 class Servers:
     """
@@ -103,13 +112,15 @@
         Returns
         -------
         list of Server
+            Those of broken groups only if there are no others.
         """
-        return [
+        ready = [
             server
             for server in self._by_id.values()
             if server.entry.service == service
             and server.entry.state is ServerState.READY
         ]
+        return [server for server in ready if server.is_open] or ready
 
     def choose(self, service, tried):
         """
@@ -129,6 +140,47 @@
         now = trio.current_time()
         return choose_server(candidates, self._data_centre, now, self._rng)
 
+    def note_refusal(self, server):
+        """
+        Note that a server turned a request away.
+
+        Parameters
+        ----------
+        server : Server
+
+        Notes
+        -----
+        One that has room by all that is known is broken, and with it its group:
+        without work its members look best, and a request that is sent to two of
+        them in a row has no attempt left.
+        """
+        now = trio.current_time()
+        is_full = server.load.expected(now) > server.entry.slots * _FULL_PART
+        if is_full or server.entry.place is None:
+            server.health.was_full(now)
+            return
+        self.shun_group(server)
+
+    def shun_group(self, server):
+        """
+        Leave a server's whole group out for a moment.
+
+        Parameters
+        ----------
+        server : Server
+            Without a group it is left out alone.
+        """
+        now = trio.current_time()
+        place = server.entry.place
+        for other in self._by_id.values():
+            is_member = other is server or (
+                place is not None
+                and other.entry.place is not None
+                and other.entry.place.group == place.group
+            )
+            if is_member:
+                other.health.shun(now, _GROUP_SHUN_S)
+
     def free_places(self, service):
         """See `gooseberryyoke.placement.free_places`."""
         return free_places(self.of_service(service), trio.current_time())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -1,7 +1,7 @@
 import pytest
 import trio
 
-from gooseberryyoke.membership.server_book import ServerState
+from gooseberryyoke.membership.server_book import RankPlace, ServerState
 from gooseberryyoke_daemon.gateway.call import CallFailed
 from gooseberryyoke_daemon.gateway.exchange import Exchange
 from gooseberryyoke_daemon.gateway.node import GatewayStop
@@ -493,3 +493,64 @@
         assert 'gooseberryyoke_servers{service="s"} 1' in text
 
     run_routed(main)
+
+
+def place(group, rank, is_open=True):
+    return RankPlace(group, 1, rank, 2, is_open)
+
+
+def test_a_group_that_refuses_though_it_has_room_is_left_out_as_a_whole():
+    # A rank has crashed, and every engine of its group turns requests away at once.
+    # Having no work they look best; a request that is sent to two of them is lost.
+    async def main(session):
+        broken = [
+            await session.add(f"i-{n}", refusing(), place=place("g", n)) for n in (0, 1)
+        ]
+        sound = await session.add("i-2", whole(), place=place("h", 0))
+        session.servers.of_service("s")[2].load.own = 3
+        for number in range(6):
+            reply = await session.ask("/read/x", attempt=f"a{number}")
+            assert reply.status == 200
+        assert len(sound.requests) == 6
+        assert sum(len(server.requests) for server in broken) == 1
+
+    run_routed(main)
+
+
+def test_a_group_that_says_it_is_broken_gets_nothing():
+    async def main(session):
+        closed = await session.add("i-0", whole(), place=place("g", 0, is_open=False))
+        sound = await session.add("i-1", whole(), place=place("h", 0))
+        session.servers.of_service("s")[-1].load.own = 3
+        assert (await session.ask("/read/x")).status == 200
+        assert (len(closed.requests), len(sound.requests)) == (0, 1)
+
+    run_routed(main)
+
+
+def test_a_server_that_is_full_does_not_shut_its_group_out():
+    async def main(session):
+        await session.add("i-0", refusing(), place=place("g", 0))
+        sound = await session.add("i-1", whole(), place=place("g", 1))
+        first, second = session.servers.of_service("s")
+        first.load.own, second.load.own = 5, 5
+        first.health.was_full(trio.current_time())
+        session.servers.note_refusal(first)
+        assert (await session.ask("/read/x")).status == 200
+        assert len(sound.requests) == 1
+
+    run_routed(main)
+
+
+def test_a_resumed_stream_gives_way_to_requests_that_can_be_on_time():
+    async def main(session):
+        first = await session.add("i-1", stream(1, 5, cut_after=2))
+        second = await session.add("i-2", stream(1, 5))
+        session.servers.of_service("s")[1].load.own = 5
+        await session.ask("/draw/x")
+        fresh, resumed = (
+            int(server.requests[0].header(NAMES.priority)) for server in (first, second)
+        )
+        assert fresh < resumed
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
@@ -23,12 +23,21 @@
 _COPY_COST = 0.004
 """Part of a step's time that a copy must save. A copy of 50 ms slows the steps of its
 group by 15 in 100, and what is in demand stays so for some three seconds."""
+_BUSY_REQUESTS = 3.5
+"""Running requests an engine at which time saved is worth its copies. With fewer of
+them nobody waits for a place, and copies cost in proportion more."""
 _CHANGE_COST = 0.02
 """Part of a step's time that a change must save beside its copies. A driver that dies
 while it changes a map leaves its group held for half a second."""
 _MARGIN_STEPS = 6
 """From the last step begun to the switch. At 12 to 25 steps a second this leaves time
 for orders that must be sent twice, so that the group is rarely held at all."""
+_WIDE_MARGIN_STEPS = 16
+"""After a switch that took long: while engines leave orders unanswered, some of eight
+ranks need theirs three or four times."""
+_SLOW_SWITCH_S = 0.2
+_SLOW_CHANGE_COST = 0.08
+"""Instead of `_CHANGE_COST` while switches take long, and hold the group."""
 _RUNNING_GAIN = 0.3
 """Weight of the newest count of running requests, which jumps from look to look."""
 _HOLD_TRIES = 4
@@ -75,6 +84,7 @@
         self._map = None
         self._map_version = None
         self._changes = 0
+        self._margin_steps = _MARGIN_STEPS
         self._running = 0.0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -244,7 +254,10 @@
     def _step_cost(self, pace):
         work_s = self._running * pace.per_request_s
         fixed_s = pace.step_s + work_s * (1 - pace.expert_share)
-        return StepCost(fixed_s, work_s * pace.expert_share, _COPY_COST, _CHANGE_COST)
+        copy_cost = _COPY_COST * max(1.0, _BUSY_REQUESTS / max(0.1, self._running))
+        is_slow = self._margin_steps > _MARGIN_STEPS
+        change_cost = _SLOW_CHANGE_COST if is_slow else _CHANGE_COST
+        return StepCost(fixed_s, work_s * pace.expert_share, copy_cost, change_cost)
 
     async def _change(self, calls, fence, epoch, target):
         start_s = trio.current_time()
@@ -255,6 +268,8 @@
         step = await self._hold(calls, holder, epoch)
         await calls.arm_and_release(epoch, version, step, [holder])
         self._map, self._map_version = target, (epoch, version)
+        is_slow = trio.current_time() - prepared_s > _SLOW_SWITCH_S
+        self._margin_steps = _WIDE_MARGIN_STEPS if is_slow else _MARGIN_STEPS
         log_event(
             "map-changed",
             group=self._group,
@@ -273,7 +288,7 @@
     async def _hold(self, calls, holder, epoch):
         for _ in range(_HOLD_TRIES):
             seen = max(r.status.step for r in calls.ranks if r.status is not None)
-            step = seen + _MARGIN_STEPS
+            step = seen + self._margin_steps
             progress = await calls.order(holder, epoch, Hold(step))
             if progress == Progress.DONE.value:
                 return step
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
@@ -9,6 +9,12 @@
 requests' sizes."""
 
 
+_FAR_REQUESTS = 1.0
+"""Requests that a server of another data centre counts as having more. Keeps two thirds
+of the events between data centres off their links while near servers have room; at most
+one request deep, so that a data centre with more callers still spreads them."""
+
+
 def choose_server(candidates, data_centre, now, rng):
     """
     Choose the server with the most room for its pace.
@@ -37,9 +43,10 @@
     usual_s = _usual_pace(pool, now)
 
     def order(server):
-        taken = (server.load.expected(now) + 1) / max(1, server.entry.slots)
         is_far = server.entry.data_centre != data_centre
-        return (round(taken * _slowness(server, usual_s, now), 1), is_far, rng.random())
+        count = server.load.expected(now) + 1 + _FAR_REQUESTS * is_far
+        taken = count / max(1, server.entry.slots)
+        return (round(taken * _slowness(server, usual_s, now), 1), rng.random())
 
     return min(pool, key=order, default=None)
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
@@ -54,7 +54,18 @@
         now : float
             In seconds.
         """
-        self.shunned_until_s = max(self.shunned_until_s, now + _FULL_SHUN_S)
+        self.shun(now, _FULL_SHUN_S)
+
+    def shun(self, now, seconds):
+        """
+        Leave it out for some time at least.
+
+        Parameters
+        ----------
+        now, seconds : float
+            In seconds.
+        """
+        self.shunned_until_s = max(self.shunned_until_s, now + seconds)
 
     def is_shunned(self, now):
         """Tell whether it is left out at a time in seconds."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -15,8 +15,10 @@
 
 _FIRST_ANSWER_S = 0.2
 """From a free place to the first event of a draft, the median of a calm day."""
-_LONGEST_WAIT_S = 1.7
-"""Callers of streams leave after two seconds without an event."""
+_LONGEST_WAIT_S = 0.5
+"""A little over the 0.4 s within which an answer is on time. With half of the engines
+gone for seconds, a day is worth 0.50 so, and 0.36 at 1.7 s: who waits longer is late,
+and takes the place of one who would not be."""
 _RATE_WINDOW_S = 2.0
 _LEAST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 2.5
