Keep a control process through its disk's failures, and end a change before a stop

Cause: a replica whose disk fails raised through its process, which ended and started again for as long as the disk was full, taking the reports of servers and the operators' calls with it (shown by the seats' test, which failed first). A driver that was stopped in the middle of a change left its group to the watch, for half a second.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -318,6 +318,7 @@
             most=1,
         )
         self._lease = None
+        self._driver = None
 
     async def run(self, task_status=TASK_STATUS_IGNORED):
         """Serve until cancelled."""
@@ -346,7 +347,7 @@
             _LEASE_S,
             lineage,
         )
-        driver = ArmedDriver(
+        driver = self._driver = ArmedDriver(
             group,
             self.members.members,
             self.client,
@@ -383,7 +384,9 @@
         return 0 if pace is None else pace.experts
 
     async def stop(self):
-        """Give the lease up; the caller then cancels `run`."""
+        """End a change, give the lease up; the caller then cancels `run`."""
+        if self._driver is not None:
+            await self._driver.stop()
         if self._lease is not None:
             with move_on_after(_CONTROL_STOP_S):
                 await self._lease.release()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
@@ -41,6 +41,8 @@
 _RUNNING_GAIN = 0.3
 """Weight of the newest count of running requests, which jumps from look to look."""
 _HOLD_TRIES = 4
+_STOP_S = 3.0
+"""For a change that runs, well within the time of a planned stop."""
 _VERSIONS_A_TERM = 10_000
 
 
@@ -84,17 +86,19 @@
         self._map = None
         self._map_version = None
         self._changes = 0
+        self._is_busy = False
+        self._is_stopping = False
         self._margin_steps = _MARGIN_STEPS
         self._running = 0.0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Drive while the lease is held, until cancelled."""
         task_status.started()
-        while True:
+        while not self._is_stopping:
             await trio.sleep(_ROUND_S)
             grant = self._lease.grant()
             members = self._members()
-            if grant is None or members is None:
+            if grant is None or members is None or self._is_stopping:
                 continue
             calls = GroupCalls(
                 self._group,
@@ -104,6 +108,7 @@
                 lambda number=grant.number: self._holds(number),
                 self._engine_at,
             )
+            self._is_busy = True
             try:
                 await self._round(calls, grant.number)
             except RoundEnded as exc:
@@ -118,6 +123,19 @@
                 # The process also carries other drivers' orders to its engine; ended
                 # by a fault in here, it would leave a group held.
                 logger.opt(exception=exc).error("map-round-failed")
+            finally:
+                self._is_busy = False
+
+    async def stop(self):
+        """
+        Begin no further round, and wait for the end of the one that runs.
+
+        A process that ends in the middle of a change leaves its group held.
+        """
+        self._is_stopping = True
+        with trio.move_on_after(_STOP_S):
+            while self._is_busy:
+                await trio.sleep(_ROUND_S / 20)
 
     def _holds(self, number):
         grant = self._lease.grant()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/tests/test_armed_groups.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/tests/test_armed_groups.py
@@ -91,7 +91,13 @@
 
     def drive(self, number):
         """Start a driver; give its lease and the scope that ends it."""
-        lease, scope = Lease(number), trio.CancelScope()
+        lease = Lease(number)
+        _, scope = self.driver(number, lease)
+        return lease, scope
+
+    def driver(self, number, lease=None):
+        """Start a driver; give it and the scope that ends it."""
+        lease, scope = lease or Lease(number), trio.CancelScope()
         driver = ArmedDriver(
             "g",
             lambda: self.members,
@@ -102,7 +108,7 @@
             f"10.9.0.{number}",
         )
         self._nursery.start_soon(self._run, driver, scope)
-        return lease, scope
+        return driver, scope
 
     async def _run(self, driver, scope):
         with scope:
@@ -156,6 +162,23 @@
         run(main, RankGroup(seed, lost_share=0.35))
 
 
+def test_a_driver_that_is_stopped_ends_its_change_first():
+    # A planned stop of the machine on which the driver runs, while it changes a map.
+    async def main(session):
+        group = session.group
+        driver, scope = session.driver(1)
+        await session.until(lambda: any(rank.prepared for rank in group.ranks))
+        await driver.stop()
+        scope.cancel()
+        stopped_at = group.step
+        await trio.sleep(1.0)
+        assert group.step - stopped_at > 15
+        assert len({rank.version for rank in group.ranks}) == 1
+        assert group.ranks[0].version > 0
+
+    run(main, RankGroup(7))
+
+
 def test_a_watch_completes_what_a_frozen_driver_left_held():
     # The driver freezes between hold and release. Its lease runs for seconds; the
     # group's streams are late after a tenth of a second, and cut after two.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -5,6 +5,7 @@
 from gooseberryyoke.seat import Holder
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.storage import DiskFailed
 from gooseberryyoke_daemon.wire import Address, WireError
 
 __all__ = ["SeatKeeper"]
@@ -14,6 +15,8 @@
 _GREET_S = 0.5
 _FIRST_GREET_S = 0.1
 _GREET_TIMEOUT_S = 0.4
+_DISK_PAUSE_S = 1.0
+"""After a disk's failure until the replica is started again on its folder."""
 _VACANT_S = 2.5
 """Silence of a holder after which a process without a seat takes it. Longer than a
 process takes to start again; a holder that returns later finds that it has lost the
@@ -76,6 +79,7 @@
         self._on_seats = on_seats
         self._saved = None
         self._started_s = 0.0
+        self._sit_after_s = float("-inf")
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """
@@ -95,27 +99,37 @@
         async with trio.open_nursery() as nursery:
             task_status.started()
             if seat is not None:
-                await self._sit(seat, nursery, self._founding)
+                self._sit(seat, nursery, self._founding)
             await self._keep_in_touch(nursery)
 
     async def _keep_in_touch(self, nursery):
         while True:
             await self._greet_all()
             if self.replica is None:
-                await self._look_for_seat(nursery)
+                self._look_for_seat(nursery)
             elif self.replica.is_ready:
                 await self._announce()
             settled = self.replica is not None and self.replica.is_ready
             await trio.sleep(_GREET_S if settled else _FIRST_GREET_S)
 
-    async def _sit(self, seat, nursery, may_found):
+    def _sit(self, seat, nursery, may_found):
         log_event("seat-taken", seat=seat, may_found=may_found)
         peers = self._peers.by_seat()
         peers.pop(seat, None)
         replica = Replica(seat, self._disk, peers, self._rng, may_found=may_found)
-        await nursery.start(replica.run)
-        self.replica = replica
-        self._peers.own = replica
+        self.replica = self._peers.own = replica
+        nursery.start_soon(self._run_replica, replica)
+
+    async def _run_replica(self, replica):
+        try:
+            await replica.run()
+        except* DiskFailed as group:
+            # A full or stalled disk recovers. Until then this process goes on without
+            # its replica: servers and gateways report to it all the same.
+            reasons = "; ".join(str(exc) for exc in group.exceptions)
+            log_event("replica-ended", level="error", seat=replica.seat, why=reasons)
+        self.replica = self._peers.own = None
+        self._sit_after_s = trio.current_time() + _DISK_PAUSE_S
 
     async def _announce(self):
         replica = self.replica
@@ -127,10 +141,12 @@
             await self._disk.run(self._file.save, replica.seat, self._seats)
             self._saved = packed
 
-    async def _look_for_seat(self, nursery):
+    def _look_for_seat(self, nursery):
+        if trio.current_time() < self._sit_after_s:
+            return
         seat = self._seats.seat_at(self.address) or self._vacant_seat()
         if seat is not None:
-            await self._sit(seat, nursery, may_found=False)
+            self._sit(seat, nursery, may_found=False)
 
     def _vacant_seat(self):
         now = trio.current_time()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
@@ -174,6 +174,26 @@
     run(main)
 
 
+def test_a_disk_that_fails_for_a_moment_costs_neither_process_nor_seat():
+    # The disk of one control process is full for a moment, and its log can't be
+    # written. The process goes on; its replica comes back with what it had synced.
+    async def main(deployment):
+        await deployment.found()
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        deployment.disks["10.0.0.2", "data/registers"].fail_next = True
+        await deployment.running[1].store.put(5, b"5")
+        await trio.sleep(0.5)
+        assert not deployment.is_ready(2)
+        await deployment.until_ready(2, limit_s=3.0)
+        assert deployment.running[2].keeper.replica.seat == "2"
+        deployment.kill(3)
+        newest = await deployment.running[2].store.newest()
+        assert newest.unwrap().text == b"5"
+
+    run(main)
+
+
 def test_a_process_that_hears_nobody_takes_no_seat():
     # The network of a newcomer is down: all seats look silent to it.
     async def main(deployment):
