Five seats where two disks may be lost, and a second chance for a process that lost its seat

Cause: a deployment's three contacts founded three seats, whatever it has to bear.

Ruled out: adding seats after the founding. It needs an agreed change of what a majority is.

Change: 2 n + 1 seats for n lost disks. Such processes choose in the order of their addresses, which showed that control processes told of by others were forgotten again before they were asked: mended. A process whose seat was taken over sets its folder aside and may take the next vacant one; it stayed idle for good before. A folder of another seat is never voted on.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -55,7 +55,7 @@
         self.client = HttpClient(network, limits)
         self.seats = SeatMap()
         if settings.founding:
-            self.seats = SeatMap.of_founders(settings.contacts)
+            self.seats = SeatMap.of_founders(settings.contacts, settings.seats)
         self.peers = SeatPeers(self.seats, self.client)
         self.registers = RegisterClient(self.peers.by_seat(), rng)
         self.store = TableStore(self.registers)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -78,7 +78,7 @@
             task_status.started()
             while True:
                 known = set(self._contacts()) | self._heard
-                known |= {h.address for h in self._seats.holders.values()}
+                known |= self._seats.addresses()
                 known.discard(self._own_address)
                 for address in self._missing(known):
                     self._followed.add(address)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -64,7 +64,6 @@
         self._acceptor = replica.acceptor
         self._state = replica.acceptor.state
         self._page_slots = _PAGE_SLOTS
-        self._is_told = False
 
     async def run(self):
         """
@@ -92,8 +91,8 @@
         if self._state.status == READY:
             judgement = judge_kept(self._state, self._position, size, replies)
         else:
-            may_found = self._replica.may_found
-            judgement = judge_fresh(self._state, size, replies, may_found)
+            founding = self._replica.founding
+            judgement = judge_fresh(self._state, size, replies, founding)
         await self._follow(judgement, replies)
 
     async def _follow(self, judgement, replies):
@@ -148,9 +147,9 @@
             self._tell_taken_over()
 
     def _tell_taken_over(self):
-        if not self._is_told:
+        if not self._replica.is_taken_over:
             log_event("seat-taken-over", level="error", seat=self._replica.seat)
-        self._is_told = True
+        self._replica.is_taken_over = True
 
     async def _copy_all(self, sources):
         pages = []
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -54,11 +54,18 @@
     may_found : bool
         Begin with an empty state if all replicas are empty. To be allowed only
         for a new deployment: with all folders lost, claims would be forgotten.
+    founding : frozenset of str, optional
+        The seats that begin so together; all by default.
     hello_s : float
         Pause between two rounds of telling the peers how far one is.
     snapshot_bytes : int, optional
         See `Journal`.
 
+    Attributes
+    ----------
+    is_taken_over : bool
+        Another process holds the seat now; this replica votes no more.
+
     Notes
     -----
     A folder put back from a copy is noticed if the copy is older than about
@@ -72,16 +79,19 @@
         peers,
         rng,
         may_found=False,
+        founding=None,
         hello_s=_DEFAULT_HELLO_S,
         snapshot_bytes=None,
     ):
         self.seat = seat
         self.peers = dict(peers)
         self.rng = rng
-        self.may_found = may_found
+        all_seats = frozenset(self.peers) | {seat}
+        self.founding = (founding or all_seats) if may_found else frozenset()
         self.hello_s = hello_s
         self.acceptor = None
         self.journal = None
+        self.is_taken_over = False
         self._disk = disk
         self._snapshot_bytes = snapshot_bytes
         self._telling = 0
@@ -117,10 +127,7 @@
                 log_event("folder-outdated", level="error", seat=self.seat, aside=aside)
 
     async def _live(self, replies, task_status):
-        recovered = await self._recover()
-        state = ReplicaState()
-        for value in recovered.values:
-            state.apply(decode(value))
+        recovered, state = await self._recover_state()
         self._start_journal(recovered, state)
         self._telling = recovered.position
         async with trio.open_nursery() as nursery:
@@ -131,6 +138,25 @@
             task_status.started()
             await Joining(self, recovered.position).run()
 
+    async def _recover_state(self):
+        while True:
+            recovered = await self._recover()
+            state = ReplicaState()
+            for value in recovered.values:
+                state.apply(decode(value))
+            if state.seat in (None, self.seat):
+                return recovered, state
+            # The process held another seat, lost it and took this one. Voting on
+            # the old folder would count promises that were made for the other seat.
+            aside = await self._disk.run(self._disk.set_aside, "other-seat")
+            log_event(
+                "folder-of-other-seat",
+                level="error",
+                seat=self.seat,
+                held=state.seat,
+                aside=aside,
+            )
+
     def _start_journal(self, recovered, state):
         limits = {}
         if self._snapshot_bytes is not None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
@@ -19,16 +19,20 @@
     founding : bool
         The whole deployment starts for the first time. ``contacts`` then names the
         founders, in the same order at every process.
+    seats : int
+        Of the durable state. Read only when founding; a majority of them must be
+        left after the greatest loss that the deployment has to bear.
     """
 
-    __slots__ = ("name", "data_centre", "internal", "contacts", "founding")
+    __slots__ = ("name", "data_centre", "internal", "contacts", "founding", "seats")
 
-    def __init__(self, name, data_centre, internal, contacts, founding=False):
+    def __init__(self, name, data_centre, internal, contacts, founding=False, seats=0):
         self.name = name
         self.data_centre = data_centre
         self.internal = internal
         self.contacts = tuple(contacts)
         self.founding = founding
+        self.seats = seats
 
 
 class GatewaySettings(Record):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -17,7 +17,8 @@
 _GREET_TIMEOUT_S = 0.4
 _FORGET_S = 60.0
 _DISK_PAUSE_S = 1.0
-"""After a disk's failure until the replica is started again on its folder."""
+"""After a disk's failure until the replica is started again on its folder, and after
+the loss of a seat until another is looked for: the new holder is known by then."""
 _VACANT_S = 2.5
 """Silence of a holder after which a process without a seat takes it. Longer than a
 process takes to start again; a holder that returns later finds that it has lost the
@@ -69,6 +70,7 @@
         self.address = address
         self.replica = None
         self.controls = {}
+        self._told = {}
         self._contacts = contacts
         self._seats = seats
         self._peers = peers
@@ -76,11 +78,12 @@
         self._disk = register_disk
         self._file = seat_file
         self._rng = rng
-        self._founding = founding
+        self._founding = seats.founding() if founding else frozenset()
         self._on_seats = on_seats
         self._saved = None
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
+        self._seat_scope = None
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """
@@ -108,22 +111,52 @@
             await self._greet_all()
             if self.replica is None:
                 self._look_for_seat(nursery)
+            elif self.replica.is_taken_over:
+                await self._leave_seat()
             elif self.replica.is_ready:
                 await self._announce()
             settled = self.replica is not None and self.replica.is_ready
             await trio.sleep(_GREET_S if settled else _FIRST_GREET_S)
 
-    def _sit(self, seat, nursery, may_found):
+    def _sit(self, seat, nursery, founding=frozenset()):
+        may_found = bool(founding)
         log_event("seat-taken", seat=seat, may_found=may_found)
         peers = self._peers.by_seat()
         peers.pop(seat, None)
-        replica = Replica(seat, self._disk, peers, self._rng, may_found=may_found)
+        replica = Replica(
+            seat,
+            self._disk,
+            peers,
+            self._rng,
+            may_found=may_found,
+            founding=founding,
+        )
         self.replica = self._peers.own = replica
+        self._seat_scope = trio.CancelScope()
         nursery.start_soon(self._run_replica, replica)
 
+    async def _leave_seat(self):
+        """
+        Give up a seat that another process has taken meanwhile.
+
+        The folder can't vote again under its identity. Kept, it would leave this
+        process idle for good, and the next lost holder without a successor.
+        """
+        self._seat_scope.cancel()
+        while self.replica is not None:
+            await trio.sleep(_FIRST_GREET_S)
+        try:
+            # In this order: an empty folder under the old seat would take it back.
+            await self._disk.run(self._file.save, None, self._seats)
+            await self._disk.run(self._disk.set_aside, "taken-over")
+        except OSError as exc:
+            # Whoever sits down on the old folder next sets it aside.
+            log_event("folder-kept", level="error", why=str(exc))
+
     async def _run_replica(self, replica):
         try:
-            await replica.run()
+            with self._seat_scope:
+                await replica.run()
         except* DiskFailed as group:
             # A full or stalled disk recovers. Until then this process goes on without
             # its replica: servers and gateways report to it all the same.
@@ -151,26 +184,37 @@
     def _look_for_seat(self, nursery):
         if trio.current_time() < self._sit_after_s:
             return
-        seat = self._seats.seat_at(self.address) or self._vacant_seat()
+        seat = self._seats.seat_at(self.address) or self._seat_to_take()
         if seat is not None:
-            self._sit(seat, nursery, may_found=False)
+            self._sit(seat, nursery)
 
-    def _vacant_seat(self):
-        now = trio.current_time()
-        if now - self._started_s < _VACANT_S or not self._seats.holders:
+    def _seat_to_take(self):
+        if trio.current_time() - self._started_s < _VACANT_S:
             return None
-        silent = [
-            seat
-            for seat, holder in sorted(self._seats.holders.items())
-            if now - self.controls.get(holder.address, self._started_s) > _VACANT_S
-        ]
+        held = self._seats.addresses()
+        free = sorted(self._seats.holders.keys() - self._heard_seats())
         # Others must be heard, or the silence is this process's own.
-        heard = len(self._seats.holders) - len(silent)
-        return silent[0] if silent and heard > len(self._seats.holders) // 2 else None
+        heard = len(self._seats.holders) - len(free)
+        if heard <= len(self._seats.holders) // 2:
+            return None
+        # Each of several processes without a seat takes another one. Two that took
+        # the same would copy the state for nothing, and one of them start again.
+        unseated = sorted(a for a in self.live_controls() if a not in held)
+        place = unseated.index(self.address)
+        return free[place] if place < len(free) else None
+
+    def _heard_seats(self):
+        now = trio.current_time()
+        return {
+            seat
+            for seat, holder in self._seats.holders.items()
+            if not holder.is_vacant
+            and now - self.controls.get(holder.address, self._started_s) <= _VACANT_S
+        }
 
     async def _greet_all(self):
-        addresses = set(self._contacts()) | set(self.controls)
-        addresses |= {holder.address for holder in self._seats.holders.values()}
+        addresses = set(self._contacts()) | self.controls.keys() | self._told.keys()
+        addresses |= self._seats.addresses()
         addresses.discard(self.address)
         async with trio.open_nursery() as nursery:
             for address in addresses:
@@ -181,9 +225,10 @@
         # Machines are replaced at other addresses; greeting all that ever were would
         # hold each round up. One that others still hear is told by them again.
         now = trio.current_time()
-        for address, at_s in list(self.controls.items()):
-            if now - at_s > _FORGET_S:
-                del self.controls[address]
+        for times in (self.controls, self._told):
+            for address, at_s in list(times.items()):
+                if now - at_s > _FORGET_S:
+                    del times[address]
 
     async def _greet(self, address):
         payload = {"address": self.address, "seats": self._seats.to_json()}
@@ -226,7 +271,7 @@
             self._on_seats()
         self._note_control(address)
         for other in payload.get("controls", ()):
-            self.controls.setdefault(str(other), float("-inf"))
+            self._told[str(other)] = trio.current_time()
         return self.say()
 
     def _note_control(self, address):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/peer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/peer.py
@@ -101,6 +101,6 @@
         if own is not None and own.seat == self._seat:
             return await own.call(message)
         holder = self._peers.seats.holders.get(self._seat)
-        if holder is None:
+        if holder is None or holder.is_vacant:
             raise PeerFailed(f"no holder of seat {self._seat} is known")
         return await self._peers.at(holder.address).call(message)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
@@ -32,7 +32,7 @@
         Returns
         -------
         seat : str or None
-            None if there is no file, or none that can be read.
+            None if the process held none, or the file can't be read.
         seats : SeatMap
         """
         seats = SeatMap()
@@ -41,7 +41,8 @@
         try:
             stored = orjson.loads(self._disk.read(_NAME))
             seats.merge(stored["seats"])
-            return str(stored["seat"]), seats
+            seat = stored["seat"]
+            return None if seat is None else str(seat), seats
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
             # Without it the replica asks the others for the seat at its address.
             log_event("seat-file-unreadable", level="error", detail=str(exc))
@@ -53,7 +54,7 @@
 
         Parameters
         ----------
-        seat : str
+        seat : str or None
         seats : SeatMap
         """
         content = {"seat": seat, "seats": seats.to_json()}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
@@ -33,9 +33,10 @@
 
         return open_disk
 
-    async def start(self, number, founding=False, contacts=SEEDS):
+    async def start(self, number, founding=False, contacts=SEEDS, seats=0):
         host = f"10.0.0.{number}"
-        node = NodeSettings(f"c{number}", "a", Address(host, PORT), contacts, founding)
+        address = Address(host, PORT)
+        node = NodeSettings(f"c{number}", "a", address, contacts, founding, seats)
         control = Control(
             ControlSettings(node, "data"),
             self.network.host(host),
@@ -233,3 +234,80 @@
             nursery.cancel_scope.cancel()
 
     run(main, seed)
+
+
+def _seats_held(deployment):
+    return {
+        number: control.keeper.replica.seat
+        for number, control in deployment.running.items()
+        if deployment.is_ready(number)
+    }
+
+
+async def _found_five(deployment):
+    for number in (4, 2, 5, 1, 3):
+        await deployment.start(number, founding=True, seats=5)
+    await deployment.until_ready(1, 2, 3, 4, 5)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_two_disks_lost_at_once_lose_no_acknowledged_table(seed):
+    # The operator's change is acknowledged; at once two control processes lose their
+    # disks, and the operator reads the change back. The contacts name three processes
+    # only. With their three seats, two lost disks would leave no majority that knows
+    # the change; with five, three of the five that were asked still hold it.
+    async def main(deployment):
+        await _found_five(deployment)
+        await deployment.running[4].store.put(4, b"4")
+        for number in (1, 2):
+            deployment.kill(number, wipe=True)
+        for number in (1, 2):
+            await deployment.start(number, seats=5)
+        await deployment.until_ready(1, 2)
+        for number in (1, 2, 5):
+            found = await deployment.running[number].store.newest()
+            assert found.unwrap().text == b"4"
+        deployment.kill(3)
+        deployment.kill(4)
+        assert (await deployment.running[1].store.put(6, b"6")).unwrap()
+
+    run(main, seed)
+
+
+def test_processes_without_a_seat_share_the_vacant_ones():
+    # All start at once, three of them named as contacts. The others fill the two
+    # vacant seats, one each, and the sixth stays without.
+    async def main(deployment):
+        await deployment.start(6, seats=5, founding=True)
+        await _found_five(deployment)
+        await trio.sleep(5.0)
+        assert sorted(_seats_held(deployment).values()) == ["1", "2", "3", "4", "5"]
+
+    run(main)
+
+
+def test_a_process_whose_seat_was_taken_is_there_for_the_next_vacant_one():
+    # A control process is cut off for longer than a seat waits for its holder, and a
+    # spare one takes its seat. Later another machine is gone for good. Without the
+    # first process's coming back for that seat, the next loss would leave no majority
+    # and no change would be accepted any more.
+    async def main(deployment):
+        await deployment.found()
+        await deployment.start(4)
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        for number in (1, 2, 4):
+            deployment.network.cut("10.0.0.3", f"10.0.0.{number}")
+        await deployment.until_ready(4)
+        for number in (1, 2, 4):
+            deployment.network.heal("10.0.0.3", f"10.0.0.{number}")
+        await trio.sleep(5.0)
+        assert not deployment.is_ready(3)
+        assert _seats_held(deployment) == {1: "1", 2: "2", 4: "3"}
+        deployment.kill(1, wipe=True)
+        await deployment.until_ready(3)
+        assert _seats_held(deployment) == {2: "2", 3: "1", 4: "3"}
+        deployment.kill(2)
+        assert (await deployment.running[3].store.newest()).unwrap().text == b"4"
+
+    run(main)
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
@@ -88,7 +88,7 @@
     return Judgement(Admission.WAIT)
 
 
-def judge_fresh(state, size, replies, may_found):
+def judge_fresh(state, size, replies, founding):
     """
     Judge a folder that has never been part of a majority.
 
@@ -100,8 +100,9 @@
         Number of seats.
     replies : list of HelloReply
         From the other seats, the latest of each.
-    may_found : bool
-        The settings allow to begin with an empty state.
+    founding : frozenset of str
+        Seats that may begin together with an empty state, if the settings allow
+        it. Other seats join them as one that has lost its folder would.
 
     Returns
     -------
@@ -119,9 +120,10 @@
     if len(ready) >= majority(size):
         return Judgement(Admission.COPY, sources=[r.sender.seat for r in ready])
     fresh = [reply for reply in replies if reply.state == FRESH]
-    if may_found and len(fresh) == size - 1:
-        founders = {r.sender.seat: r.sender.incarnation for r in fresh}
-        founders[state.seat] = state.incarnation
+    founders = {r.sender.seat: r.sender.incarnation for r in fresh}
+    founders[state.seat] = state.incarnation
+    if state.seat in founding and founding <= founders.keys():
+        founders = {seat: founders[seat] for seat in founding}
         return Judgement(Admission.FOUND, founders=founders)
     return Judgement(Admission.WAIT)
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/seat/seat_map.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/seat/seat_map.py
@@ -6,6 +6,7 @@
 __all__ = ["Holder", "SeatMap"]
 
 _FOUNDER = Incarnation(0, "")
+_NOWHERE = ""
 
 
 class Holder(Record):
@@ -17,7 +18,8 @@
     incarnation : Incarnation
         Identity of the data folder; generation 0 for a founder not heard of yet.
     address : str
-        ``host:port`` of the process, for internal calls.
+        ``host:port`` of the process, for internal calls; empty for a seat that
+        nobody has held yet.
     """
 
     __slots__ = ("incarnation", "address")
@@ -26,6 +28,11 @@
         self.incarnation = incarnation
         self.address = address
 
+    @property
+    def is_vacant(self):
+        """Whether nobody has held the seat yet."""
+        return self.address == _NOWHERE
+
 
 class SeatMap:
     """
@@ -48,7 +55,7 @@
         self.holders = {}
 
     @classmethod
-    def of_founders(cls, addresses):
+    def of_founders(cls, addresses, size=0):
         """
         Name the seats of a deployment that starts for the first time.
 
@@ -56,16 +63,45 @@
         ----------
         addresses : list of str
             The same list in the same order at every process.
+        size : int
+            Number of seats, if there are to be more than founders. The others are
+            vacant: they count in every majority from the beginning, so that it
+            never has to change.
 
         Returns
         -------
         SeatMap
         """
         seats = cls()
-        for number, address in enumerate(addresses, start=1):
-            seats.holders[str(number)] = Holder(_FOUNDER, address)
+        for number in range(max(size, len(addresses))):
+            address = addresses[number] if number < len(addresses) else _NOWHERE
+            seats.holders[str(number + 1)] = Holder(_FOUNDER, address)
         return seats
 
+    def addresses(self):
+        """
+        List where the seats are held.
+
+        Returns
+        -------
+        set of str
+        """
+        return {h.address for h in self.holders.values() if not h.is_vacant}
+
+    def founding(self):
+        """
+        List the seats whose holders are founders not heard of yet.
+
+        Returns
+        -------
+        frozenset of str
+        """
+        return frozenset(
+            seat
+            for seat, holder in self.holders.items()
+            if holder.incarnation == _FOUNDER and not holder.is_vacant
+        )
+
     def seat_at(self, address):
         """
         Find the seat that an address holds.
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -363,7 +363,7 @@
             if judgement.admission is Admission.SERVE:
                 replica.acceptor.is_admitted = True
             return
-        judgement = judge_fresh(replica.state, size, hellos, may_found=False)
+        judgement = judge_fresh(replica.state, size, hellos, founding=frozenset())
         if judgement.admission is Admission.RENEW:
             incarnation = next_incarnation(replica.seat, hellos, self.rng)
             replica.record([Identified(replica.seat, incarnation)])
