Search the seats by random losses, and share the deployment of control processes between tests

Cause: moving seats had scenarios but no search, and vacant seats and processes that lose one have added states.

Change: 24 seeded walks of 25 steps over three and five seats, with and without spare processes: changes and reads of the table between kills, lost disks as far as the deployment bears them, cuts and restarts. No read may be older than what was acknowledged when it began, and in the end each seat votes again. The deployment that the tests share moves to testing/.

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
@@ -0,0 +1,144 @@
+from random import Random
+
+import pytest
+import trio
+from returns.result import Success
+
+from gooseberryyoke_daemon.testing.control_deployment import run_controls
+
+STEPS = 25
+LONGEST_PAUSE_S = 4.0
+RECOVERY_S = 25.0
+
+
+class Walk:
+    """Random losses among control processes, and what operators were told meanwhile."""
+
+    def __init__(self, deployment, seed, tolerance, spares):
+        self._deployment = deployment
+        self._rng = Random(seed)
+        self._tolerance = tolerance
+        self.seats = 2 * tolerance + 1
+        self._numbers = range(1, self.seats + spares + 1)
+        self._wiped = set()
+        self._cuts = set()
+        self._version = 0
+        self.acked = 0
+        self.wipes = self.acks = self.reads = 0
+
+    async def begin(self):
+        for number in self._numbers:
+            await self._deployment.start(number, founding=True, seats=self.seats)
+        await self._until_all_seats_vote()
+
+    def _held(self):
+        return {
+            control.keeper.replica.seat
+            for number, control in self._deployment.running.items()
+            if self._deployment.is_ready(number)
+        }
+
+    async def _until_all_seats_vote(self):
+        with trio.fail_after(RECOVERY_S):
+            while len(self._held()) < self.seats:
+                await trio.sleep(0.1)
+
+    async def step(self):
+        act = self._rng.choice(
+            (self._put, self._put, self._read, self._kill, self._kill, self._wipe)
+            + (self._start, self._start, self._cut, self._heal)
+        )
+        await act()
+        await trio.sleep(self._rng.uniform(0, LONGEST_PAUSE_S) ** 2 / LONGEST_PAUSE_S)
+        self._wiped -= self._held()
+
+    def _some(self, numbers):
+        numbers = sorted(numbers)
+        return self._rng.choice(numbers) if numbers else None
+
+    async def _put(self):
+        number = self._some(self._deployment.running)
+        if number is None:
+            return
+        self._version += 1
+        version = self._version
+        store = self._deployment.running[number].store
+        with trio.move_on_after(6.0):
+            if isinstance(await store.put(version, b"%d" % version), Success):
+                self.acked = max(self.acked, version)
+                self.acks += 1
+
+    async def _read(self):
+        number = self._some(self._deployment.running)
+        if number is None:
+            return
+        expected = self.acked
+        with trio.move_on_after(6.0):
+            found = await self._deployment.running[number].store.newest()
+            if isinstance(found, Success):
+                self.reads += 1
+                stored = found.unwrap()
+                assert (0 if stored is None else stored.version) >= expected
+
+    async def _kill(self):
+        number = self._some(self._deployment.running)
+        if number is not None:
+            self._deployment.kill(number)
+
+    async def _wipe(self):
+        # As many disks as the deployment has to bear, counted until another process,
+        # or the same, votes in the seat again.
+        voting = [n for n in self._deployment.running if self._deployment.is_ready(n)]
+        number = self._some(voting)
+        if number is None:
+            return
+        seat = self._deployment.running[number].keeper.replica.seat
+        if len(self._wiped | {seat}) > self._tolerance:
+            return
+        self._wiped.add(seat)
+        self.wipes += 1
+        self._deployment.kill(number, wipe=True)
+
+    async def _start(self):
+        number = self._some(set(self._numbers) - set(self._deployment.running))
+        if number is not None:
+            await self._deployment.start(number, seats=self.seats)
+
+    async def _cut(self):
+        a, b = self._rng.sample(self._numbers, 2)
+        self._cuts.add((a, b))
+        self._deployment.network.cut(f"10.0.0.{a}", f"10.0.0.{b}")
+
+    async def _heal(self):
+        for a, b in self._cuts:
+            self._deployment.network.heal(f"10.0.0.{a}", f"10.0.0.{b}")
+        self._cuts.clear()
+
+    async def end(self):
+        await self._heal()
+        for number in set(self._numbers) - set(self._deployment.running):
+            await self._deployment.start(number, seats=self.seats)
+        await self._until_all_seats_vote()
+        for control in self._deployment.running.values():
+            found = await control.store.newest()
+            stored = found.unwrap()
+            assert (0 if stored is None else stored.version) >= self.acked
+
+
+@pytest.mark.parametrize(("tolerance", "spares"), [(1, 0), (1, 2), (2, 0), (2, 1)])
+@pytest.mark.parametrize("seed", range(6))
+def test_whatever_is_lost_acknowledged_tables_are_kept_and_all_seats_return(
+    seed, tolerance, spares
+):
+    # Operators change the table while control processes are killed, cut off from one
+    # another, emptied as far as the deployment bears it, and started again. Whoever
+    # reads gets the newest acknowledged table or none, and once all is back every seat
+    # votes again: a seat that stays empty would make the next loss fatal.
+    async def main(deployment):
+        walk = Walk(deployment, seed, tolerance, spares)
+        await walk.begin()
+        for _ in range(STEPS):
+            await walk.step()
+        await walk.end()
+
+    run_controls(main, seed)
