A soak: random faults from outside on the real processes of a small deployment

Change: tools/soak draws faults from a seed, applies them by signals, emptied folders and proxies on loopback, and checks what callers got and backend servers counted with the demonstration's own checks. The demonstration's deployment takes the addresses by which it is reached from outside.

Ruled out: proxies between the processes themselves. Their calls are signed for the address that they go to; a trial of it started no deployment, since each call was refused as meant for another host.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := gooseberryyoke gooseberryyoke-daemon gooseberryyoke-client
 MANIFESTS := constraints.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 
-.PHONY: demo test lint format bench bench-capacity proof clean
+.PHONY: demo test lint format bench bench-capacity proof soak clean
 
 $(VENV)/installed: $(MANIFESTS)
 	$(PYTHON) -m venv $(VENV)
@@ -43,5 +43,8 @@
 proof: $(VENV)/installed
 	$(BIN)/python -m tools.proof
 
+soak: $(VENV)/installed
+	$(BIN)/python -m tools.soak --seeds 50
+
 clean:
 	rm -rf $(VENV) out
--- a/examples/demonstration/deployment.py
+++ b/examples/demonstration/deployment.py
@@ -62,11 +62,16 @@
         Emptied first; settings, keys, logs and data go there.
     ports : Ports
         Shared by all deployments of a run.
+    via : callable, optional
+        Takes the address of a backend server, or of an entry for callers, and gives
+        the one at which it is to be reached. Calls between entries and agents are
+        signed for the address that they go to, and take no other way.
     """
 
-    def __init__(self, profile, folder, ports):
+    def __init__(self, profile, folder, ports, via=lambda address: address):
         self.profile = profile
         self._folder = folder
+        self._via = via
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
         self.processes = Processes(folder)
@@ -92,7 +97,7 @@
             self._start_daemon(f"agent-{backend.name}", settings)
         await self._wait_for_operators()
         await self._roll()
-        await self._wait_until_ready()
+        await self.wait_until_ready()
 
     async def status(self):
         """
@@ -174,6 +179,22 @@
         )
         return json.loads(signed.read_text())
 
+    async def sign_version(self, version):
+        """
+        Sign the rolled bundle off under another version.
+
+        Parameters
+        ----------
+        version : int
+
+        Returns
+        -------
+        dict
+            The signed envelope.
+        """
+        text = (self._folder / "bundle.yaml").read_text()
+        return await self.sign(text.replace("version: 1\n", f"version: {version}\n", 1))
+
     def restart(self, name):
         """
         Start a daemon again that was killed or stopped, with its old settings.
@@ -200,8 +221,7 @@
         float
             Seconds from its acceptance until each of them had it in force.
         """
-        text = (self._folder / "bundle.yaml").read_text()
-        envelope = await self.sign(text.replace("version: 1\n", "version: 2\n", 1))
+        envelope = await self.sign_version(2)
         reply = await self._client.json(
             "POST", entries[0].operators, "/operator/bundle", envelope, timeout_s=10
         )
@@ -212,11 +232,22 @@
             await self._wait_for(entry.operators, _STATUS_PATH, _has_second_version)
         return trio.current_time() - accepted_s
 
+    def wipe(self, name):
+        """
+        Empty the data folder of an entry that doesn't run.
+
+        Parameters
+        ----------
+        name : str
+        """
+        shutil.rmtree(self._folder / f"data-{name}", ignore_errors=True)
+
     async def _wait_for_operators(self):
         for entry in self.entries:
             await self._wait_for(entry.operators, _STATUS_PATH, lambda reply: True)
 
-    async def _wait_until_ready(self):
+    async def wait_until_ready(self):
+        """Wait until every entry serves and knows every agent."""
         for entry in self.entries:
             await self._wait_for(
                 entry.callers, "/readyz", lambda reply: reply.status == _OK
@@ -281,7 +312,10 @@
             for name, other in zip(_REPLICAS, self.entries, strict=False)
         ]
         settings["sign_off"] = {"keys": {_SIGNER: f"{_SIGNER}.pub.pem"}}
-        settings["entry"] = {"deployment": self.profile.name}
+        settings["entry"] = {
+            "deployment": self.profile.name,
+            "public_url": f"http://{self._via(entry.callers)}",
+        }
         if is_replica:
             settings["data_folder"] = f"data-{entry.name}"
             settings["replica"] = {"id": _REPLICAS[number], "may_found": True}
@@ -294,7 +328,7 @@
         settings["entries"] = [str(entry.internal) for entry in self.entries]
         server = {
             "name": backend.name,
-            "address": str(backend.address),
+            "address": str(self._via(backend.address)),
             "kind": backend.kind,
             "service": backend.service,
             "load_path": "/load",
--- a/examples/demonstration/processes.py
+++ b/examples/demonstration/processes.py
@@ -77,6 +77,28 @@
         process.kill()
         process.wait()
 
+    def pause(self, name):
+        """
+        Stop a process in its tracks; see `resume`.
+
+        Parameters
+        ----------
+        name : str
+            As started.
+        """
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name):
+        """
+        Let a paused process go on.
+
+        Parameters
+        ----------
+        name : str
+            As started.
+        """
+        self._running[name].send_signal(signal.SIGCONT)
+
     def pid(self, name):
         """
         Tell the process number of a process.
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults from outside on the real processes of a deployment."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Runs seeds of the soak: ``make soak`` or ``python -m tools.soak``."""
+
+import sys
+from pathlib import Path
+
+import click
+import trio
+
+from examples.demonstration.ports import Ports
+from examples.demonstration.processes import ROOT
+from tools.soak.soak import Soak
+
+__all__ = ["main"]
+
+
+async def _run(folder, seed, seconds):
+    soak = Soak(folder / str(seed), Ports(), seed, seconds)
+    result = await soak.run()
+    click.echo(f"seed {seed}: {'held' if result.is_good else 'FAILED'}")
+    if not result.is_good:
+        for line in (*result.events, *map(str, result.points)):
+            click.echo(f"  {line}")
+    return result.is_good
+
+
+@click.command()
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=5, show_default=True, help="How many, in a row.")
+@click.option("--seconds", default=15.0, show_default=True, help="Of faults, each.")
+@click.option(
+    "--folder",
+    type=click.Path(path_type=Path),
+    default=ROOT / "out" / "soak",
+    help="For settings, logs and data, a folder a seed; emptied first.",
+)
+def main(first, seeds, seconds, folder):
+    """Run a deployment under random faults, and check what its callers get."""
+    failed = [
+        seed
+        for seed in range(first, first + seeds)
+        if not trio.run(_run, folder, seed, seconds)
+    ]
+    click.echo(f"{seeds} seeds, failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak/tests/test_soak.py
@@ -0,0 +1,101 @@
+from random import Random
+
+import pytest
+import trio
+
+from examples.demonstration.ports import Ports
+from gooseberryyoke_daemon.wire import Address
+from tools.soak.faults import Kill, Roll, draw_faults
+from tools.soak.proxy import Proxy
+from tools.soak.soak import Soak
+
+ENTRIES = ["entry-1", "entry-2", "entry-3", "entry-4"]
+AGENTS = ["agent-a", "agent-b"]
+BACKENDS = ["a", "b"]
+
+
+def test_one_seed_and_the_same_faults():
+    drawn = [draw_faults(Random(5), ENTRIES, AGENTS, BACKENDS, 20.0) for _ in "ab"]
+    assert drawn[0] == drawn[1]
+    assert drawn[0] != draw_faults(Random(6), ENTRIES, AGENTS, BACKENDS, 20.0)
+
+
+def test_faults_come_in_order_and_every_run_rolls_once():
+    faults = draw_faults(Random(1), ENTRIES, AGENTS, BACKENDS, 20.0)
+    assert [at for at, _ in faults] == sorted(at for at, _ in faults)
+    assert sum(isinstance(fault, Roll) for _, fault in faults) == 1
+
+
+def test_only_entries_lose_their_folders():
+    for seed in range(50):
+        for _, fault in draw_faults(Random(seed), ENTRIES, AGENTS, BACKENDS, 20.0):
+            if isinstance(fault, Kill) and fault.is_wiped:
+                assert fault.name in ENTRIES
+
+
+async def _echo(stream):
+    async with stream:
+        async for data in stream:
+            await stream.send_all(data)
+
+
+async def _with_proxy(use):
+    ports = Ports()
+    proxy = Proxy(ports.take(), ports.take())
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            lambda task_status: trio.serve_tcp(
+                _echo,
+                proxy.target.port,
+                host=proxy.target.host,
+                task_status=task_status,
+            )
+        )
+        await nursery.start(proxy.run)
+        address: Address = proxy.listen
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await use(proxy, stream)
+        nursery.cancel_scope.cancel()
+
+
+def test_a_proxy_passes_bytes_on():
+    async def use(proxy, stream):
+        await stream.send_all(b"one")
+        assert await stream.receive_some() == b"one"
+
+    trio.run(_with_proxy, use)
+
+
+@pytest.mark.parametrize("directions", [(), ("there",), ("back",)])
+def test_a_silenced_proxy_holds_bytes_until_it_is_restored(directions):
+    async def use(proxy, stream):
+        proxy.silence(*directions)
+        await stream.send_all(b"one")
+        with trio.move_on_after(0.2) as scope:
+            await stream.receive_some()
+        assert scope.cancelled_caught
+        proxy.restore()
+        assert await stream.receive_some() == b"one"
+
+    trio.run(_with_proxy, use)
+
+
+def test_a_reset_reaches_the_caller():
+    async def use(proxy, stream):
+        await stream.send_all(b"one")
+        assert await stream.receive_some() == b"one"
+        proxy.reset()
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some()
+
+    trio.run(_with_proxy, use)
+
+
+def test_a_short_run_with_a_fixed_seed(tmp_path):
+    # Real processes of one deployment are killed, paused, stopped, emptied, cut off and
+    # reset while callers send. No answer is wrong, nothing that must run once runs
+    # twice, no verdict is untrue, and afterwards every request is answered.
+    result = trio.run(Soak(tmp_path / "run", Ports(), seed=1, seconds=6.0).run)
+    assert result.events
+    assert [str(point) for point in result.points if point.faults] == []
