Walks that leave lagging replicas alone with emptied folders; a folder votes in its own seat only

Cause: the walks over seats passed also with a safeguard taken out: an emptied folder that copies from one replica fewer than a majority. Random steps seldom leave just those replicas up that missed a change.

Change: one step more in the walks, which does so on purpose as far as the deployment bears it. A test for the folder of another seat, which had none.

Without the guard the new test fails. A process that keeps a seat it has lost is caught by its scenario, not by the walks.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
@@ -263,6 +263,31 @@
     run(main)
 
 
+def test_a_folder_of_another_seat_never_votes():
+    """
+    A process lost its seat and takes a vacant one, on a folder that it could not set
+    aside then. Voting on it, the process would count in one seat with promises and
+    values that it gave in another, and two seats would hold one folder's word.
+    """
+
+    async def main(replicas, client):
+        await client.write("k", 0, "a", T)
+        folder = replicas.disks["r2"].copy()
+        own = replicas.running["r3"].acceptor.state.incarnation
+        replicas.kill("r3")
+        replicas.lose_disk("r3")
+        replicas.disks["r3"] = folder
+        await replicas.start("r3")
+        await replicas.wait_ready("r3")
+        state = replicas.running["r3"].acceptor.state
+        assert state.seat == "r3"
+        assert state.incarnation > own
+        replicas.kill("r1")
+        assert (await client.read("k", T)).unwrap().value == "a"
+
+    run(main)
+
+
 def test_key_collected_everywhere_leaves_no_trace():
     async def main(replicas, client):
         written = (await client.write("k", 0, "a", T)).unwrap()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
@@ -46,7 +46,7 @@
     async def step(self):
         act = self._rng.choice(
             (self._put, self._put, self._read, self._kill, self._kill, self._wipe)
-            + (self._start, self._start, self._cut, self._heal)
+            + (self._start, self._start, self._cut, self._heal, self._lag_and_lose)
         )
         await act()
         await trio.sleep(self._rng.uniform(0, LONGEST_PAUSE_S) ** 2 / LONGEST_PAUSE_S)
@@ -99,6 +99,36 @@
         self.wipes += 1
         self._deployment.kill(number, wipe=True)
 
+    async def _lag_and_lose(self):
+        """
+        Change the table while some lag, then leave these alone with emptied folders.
+
+        Whoever let an emptied folder vote on the word of those that lag would show an
+        older table than was acknowledged.
+        """
+        if self._wiped or len(self._held()) < self.seats or self._cuts:
+            return
+        voting = [n for n in self._deployment.running if self._deployment.is_ready(n)]
+        self._rng.shuffle(voting)
+        lagging, others = voting[: self._tolerance], voting[self._tolerance :]
+        emptied, away = others[: self._tolerance], others[self._tolerance :]
+        for number in lagging:
+            self._deployment.kill(number)
+        await self._put()
+        for number in emptied:
+            self._wiped.add(self._deployment.running[number].keeper.replica.seat)
+            self.wipes += 1
+            self._deployment.kill(number, wipe=True)
+        for number in away:
+            self._deployment.kill(number)
+        for number in lagging + emptied:
+            await self._deployment.start(number, seats=self.seats)
+        await trio.sleep(self._rng.uniform(1.0, 2 * LONGEST_PAUSE_S))
+        for _ in lagging:
+            await self._read()
+        for number in away:
+            await self._deployment.start(number, seats=self.seats)
+
     async def _start(self):
         number = self._some(set(self._numbers) - set(self._deployment.running))
         if number is not None:
