Send streams that come late in a planned stop elsewhere

A shorter time for connections: calls that are due within a second are served well until late in the stop.

Two tests failed before.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -12,6 +12,7 @@
 from gooseberryyoke_daemon.gateway.identify import Identify
 from gooseberryyoke_daemon.gateway.observer import GatewayObserver
 from gooseberryyoke_daemon.gateway.relay import Relay
+from gooseberryyoke_daemon.gateway.stopping import Stopping
 from gooseberryyoke_daemon.gateway.warm_up import WarmUp
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.pipeline import Pipeline
@@ -36,13 +37,17 @@
         before the stop still come.
     end_s : float
         After which what is still in flight is given up.
+    begin_s : float
+        For which every request is begun; later ones only if they are due before the
+        end. By default as long as connections are taken.
     """
 
-    __slots__ = ("accept_s", "end_s")
+    __slots__ = ("accept_s", "end_s", "begin_s")
 
-    def __init__(self, accept_s, end_s):
+    def __init__(self, accept_s, end_s, begin_s=None):
         self.accept_s = accept_s
         self.end_s = end_s
+        self.begin_s = accept_s if begin_s is None else begin_s
 
 
 class GatewayNode:
@@ -73,9 +78,11 @@
         self.observer = GatewayObserver()
         warm_up = WarmUp(trio.current_time())
         self._admit = Admit(servers)
+        self._stopping = Stopping()
         self._pipeline = Pipeline(
             [
                 Identify(lambda: watcher.table, names, rng, warm_up),
+                self._stopping,
                 self._admit,
                 Relay(
                     servers, ServerCalls(client, names), budget, warm_up, self.observer
@@ -150,6 +157,7 @@
         start_s = trio.current_time()
         log_event("stop-began", in_flight=self._server.exchanges)
         self.is_leaving = True
+        self._stopping.begin(times.begin_s, times.end_s)
         self._server.drain()
         await trio.sleep(times.accept_s)
         self._server.limits.grace_s = _GRACE_S
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -382,6 +382,47 @@
     run_routed(main)
 
 
+@pytest.mark.parametrize("at_s", [3.5, 4.65])
+def test_a_stream_that_comes_late_in_a_planned_stop_is_sent_elsewhere(at_s):
+    # A caller has kept the address of a gateway that is stopping. It asks for a stream
+    # so late that the process ends before the stream does. The caller used to get half
+    # of it; now it is told at once that nothing has run, and has the whole stream from
+    # another gateway.
+    async def main(session):
+        server = await session.add("i-1", stream(1, 40, pause_s=0.1))
+        replies = []
+
+        async def ask():
+            await trio.sleep(at_s)
+            replies.append(await session.ask("/draw/x", attempt="a1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await session.node.stop(GatewayStop(5.0, 7.4, 3.0))
+        assert replies[0].status == 503
+        assert server.requests == []
+
+    run_routed(main)
+
+
+def test_what_is_due_before_the_end_of_a_planned_stop_is_still_served():
+    async def main(session):
+        await session.add("i-1", whole(b"done"))
+        bodies = []
+
+        async def ask():
+            await trio.sleep(3.5)
+            reply = await session.ask("/book/x", attempt="a1", deadline_ms=1200)
+            bodies.append(reply.body)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await session.node.stop(GatewayStop(5.0, 7.4, 3.0))
+        assert bodies == [b"done"]
+
+    run_routed(main)
+
+
 def test_a_body_that_is_waited_for_past_the_deadline_is_a_failed_attempt():
     # A server gives up at the deadline that it was told, so that the head of its
     # answer comes in the moment in which the gateway's own time ends. The wait for
