--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -166,8 +166,8 @@
             "servers": [entry.to_json() for entry in changed],
             "digest": digest,
             # Sent only when it has changed: with 14 entries, 64 ranks and six control
-            # processes, sending it with each reply and back with each call was half
-            # of all bytes between the system's processes.
+            # processes, the calls that carried it both ways were 40 of 65 MB between
+            # the system's processes in 35 s.
             "view": None if payload["view"] == digest else view,
         }
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -80,8 +80,8 @@
 
 def test_what_has_not_changed_is_not_sent_again():
     # A control process names 14 entries, its seats and its peers to each follower. With
-    # 64 ranks and 14 entries following six of them, sending these with each reply was
-    # half of all bytes between the system's processes.
+    # 64 ranks and 14 entries following six of them, the calls that carried these
+    # were 40 of 65 MB between the system's processes in 35 s.
     async def main(followed, told, servers):
         names = [str(number) for number in range(1, 15)]
         for _ in range(10):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/count_marks.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/count_marks.py
@@ -13,7 +13,8 @@
     Counts by the mark under which a driver has asked for them.
 
     Counts only ever grow, to numbers of six digits each. Their growth since the last
-    look packs to a third of the bytes, which most often go to another data centre.
+    look packs to a quarter of the bytes (1.9 for 7.4 kB, drawn counts of 12 layers with
+    128 experts), which most often go to another data centre.
     """
 
     __slots__ = ("_by_mark",)
--- a/packages/gooseberryyoke/src/gooseberryyoke/lease/candidate.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/lease/candidate.py
@@ -4,8 +4,8 @@
 
 _CANDIDATES = 4
 """All of them would have to be gone at once for the others to be needed. With all 64
-ranks of two groups competing, their reads were a sixth of all bytes between the
-system's processes; with four of each group, it is a tenth of that."""
+ranks of two groups competing, their reads were a tenth of all bytes between the
+system's processes (6.6 of 65.5 MB in 35 s, counted at the callers)."""
 
 
 def is_candidate(rank, size):
