Let late requests wait as long as their callers do, and spread their returns

Requests held while a gateway starts were passed on before any server was known, and all went to the first few that announced themselves.

Ruled out: order of the line (fresh ones went first already).

Change: a request waits up to 1.3 s, of the 2 s after which callers leave; last tries that can't have a place by then are told so at once; each refused caller is told its own turn in the backlog; how soon a first event follows a place is observed instead of assumed; held requests go through the line.

What is left after the loss of everything is another cause: servers refuse while their group is not formed yet (server-refused 90 to 220 in two seconds), and each refusal spends a caller's only return.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -12,7 +12,10 @@
 _LOOK_S = 0.01
 """Between two looks for free places while somebody waits; places are freed by other
 gateways' requests too, of which a datagram tells."""
-_OVER_RETRY_S = 0.5
+_LONGEST_FIRST_PART = 0.7
+"""Of the time within which an answer is on time. When overload makes the first events
+slower than that, fresh requests must still go before those that are late: otherwise
+all count as late, are served in turn, and none is on time until the load falls."""
 
 
 class _Place:
@@ -32,21 +35,28 @@
     Parameters
     ----------
     servers : Servers
+    warm_up : WarmUp
+        Holds requests until servers are known. Passed on before, they would all be
+        sent to the first few servers that announce themselves, which refuse most.
     """
 
-    __slots__ = ("_servers", "_lines", "_places", "_wanted")
+    __slots__ = ("_servers", "_lines", "_places", "_wanted", "_warm_up")
 
-    def __init__(self, servers):
+    def __init__(self, servers, warm_up):
         self._servers = servers
+        self._warm_up = warm_up
         self._lines = {}
         self._places = {}
         self._wanted = trio.Event()
 
     async def __call__(self, exchange, proceed):
         """Wait if all places are taken; set whether the answer can be on time."""
+        await self._warm_up.wait_for(
+            lambda: self._servers.of_service(exchange.service), exchange.deadline_s
+        )
         line = self._lines.setdefault(exchange.service, WaitingLine())
-        now = trio.current_time()
-        waiter = self._waiter(exchange, now)
+        waiter = self._waiter(exchange)
+        line.note_arrived(waiter, trio.current_time())
         if len(line) or not self._servers.has_place(exchange.service):
             refusal = await self._wait(exchange, line, waiter)
             if refusal is not None:
@@ -56,19 +66,21 @@
         exchange.is_late = not waiter.can_be_on_time(now)
         return await proceed()
 
-    def _waiter(self, exchange, now):
+    def _waiter(self, exchange):
         route, account = exchange.route, exchange.account
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
         exchange.priority = priority
         on_time_until_s = exchange.received_s + route.target_s - exchange.tried_for_s
+        first_s = self._servers.first_s(exchange.service)
         return Waiter(
-            now,
+            exchange.received_s,
             on_time_until_s,
             exchange.deadline_s,
             exchange.tried_for_s > 0.0,
             priority,
+            min(first_s, route.target_s * _LONGEST_FIRST_PART),
         )
 
     async def _wait(self, exchange, line, waiter):
@@ -94,7 +106,8 @@
         )
         if place.is_given:
             return None
-        return self._refusal(exchange, line, "no-place", _OVER_RETRY_S)
+        retry_s = line.promise(waiter, trio.current_time(), least_rate)
+        return self._refusal(exchange, line, "no-place", retry_s)
 
     def _refusal(self, exchange, line, reason, retry_s):
         detail = f"{len(line)} requests wait for {exchange.service}"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -77,16 +77,14 @@
         budget = budget or RetryBudget()
         self.observer = GatewayObserver()
         warm_up = WarmUp(trio.current_time())
-        self._admit = Admit(servers)
+        self._admit = Admit(servers, warm_up)
         self._stopping = Stopping()
         self._pipeline = Pipeline(
             [
                 Identify(lambda: watcher.table, names, rng, warm_up),
                 self._stopping,
                 self._admit,
-                Relay(
-                    servers, ServerCalls(client, names), budget, warm_up, self.observer
-                ),
+                Relay(servers, ServerCalls(client, names), budget, self.observer),
             ]
         )
         self._server = HttpServer(self.handle, Limits())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -34,15 +34,13 @@
     budget : RetryBudget
         Of second attempts, which would otherwise multiply the load of servers that
         are sick.
-    warm_up : WarmUp
     observer : GatewayObserver
     """
 
-    __slots__ = ("_servers", "_calls", "_budget", "_observer", "_warm_up")
+    __slots__ = ("_servers", "_calls", "_budget", "_observer")
 
-    def __init__(self, servers, calls, budget, warm_up, observer):
+    def __init__(self, servers, calls, budget, observer):
         self._observer = observer
-        self._warm_up = warm_up
         self._servers = servers
         self._calls = calls
         self._budget = budget
@@ -51,9 +49,6 @@
         """Make attempts; the last filter, so that nothing follows."""
         self._budget.request_started()
         exchange.verdict = Verdict.NOT_RUN
-        await self._warm_up.wait_for(
-            lambda: self._servers.of_service(exchange.service), exchange.deadline_s
-        )
         unsent = 0
         while True:
             if trio.current_time() >= exchange.deadline_s:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -1,12 +1,14 @@
 """The backend servers as this gateway sees them."""
 
 from collections import Counter
+from statistics import median
 
 import trio
 
 from gooseberryyoke.membership.server_book import ServerBook, ServerState
 from gooseberryyoke.placement import (
     SHARE_LIFE_S,
+    USUAL_FIRST_S,
     ServerHealth,
     ServerLoad,
     ServerPace,
@@ -200,6 +202,24 @@
             return True
         return free_places(servers, trio.current_time()) > 0
 
+    def first_s(self, service):
+        """
+        Tell how soon after getting a place an answer begins.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        float
+            In seconds; the median of the servers that have shown it lately.
+        """
+        now = trio.current_time()
+        known = [server.pace.known(now) for server in self.of_service(service)]
+        known = [first_s for first_s in known if first_s is not None]
+        return median(known) if known else USUAL_FIRST_S
+
     def least_rate(self, service):
         """
         Tell for how many requests a second this gateway's part of the places is.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/warm_up.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/warm_up.py
@@ -7,8 +7,9 @@
 _WARM_UP_S = 6.0
 """From a process's start. Replicas that start at the same time read their disks and
 vote within two seconds, and servers announce themselves each second or so."""
-_LONGEST_WAIT_S = 1.8
-"""For one request: callers of streams leave after two seconds without an event."""
+_LONGEST_WAIT_S = 1.4
+"""For one request: callers of streams leave after two seconds without an event, and a
+crowded server's first one takes some tenths of a second."""
 _STEP_S = 0.02
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -1,24 +1,30 @@
 """Requests that wait for a place at a server: in which order, and how long.
 
-The load that this answers: after a loss of power, or when a group of engines breaks,
-a few seconds' worth of requests comes at once. Served in the order of arrival, each
-later request is late for as long as it takes to work the backlog off, some eight
-seconds at two thirds of full load. Served with those first that can still be on time,
-only the backlog is late.
+The load that this answers: after a loss of power, or when a group of engines stood
+still, a few seconds' worth of requests comes at once, and the servers have hardly more
+places than the usual load needs. Served in the order of arrival, each later request is
+late for as long as it takes to work the backlog off. Here those go first that can
+still be on time. The backlog gets what they leave; who can't have a place of that
+while its caller waits is told at once when to come back.
 """
 
 from collections import deque
 
 from gooseberryyoke.record import Record
 
-__all__ = ["Waiter", "WaitingLine"]
-
-_FIRST_ANSWER_S = 0.2
-"""From a free place to the first event of a draft, the median of a calm day."""
-_LONGEST_WAIT_S = 0.5
-"""A little over the 0.4 s within which an answer is on time. With half of the engines
-gone for seconds, a day is worth 0.50 so, and 0.36 at 1.7 s: who waits longer is late,
-and takes the place of one who would not be."""
+__all__ = ["USUAL_FIRST_S", "Waiter", "WaitingLine"]
+
+USUAL_FIRST_S = 0.2
+"""From a free place to the first of an answer, while no server has shown it."""
+_BORNE_WAIT_S = 1.3
+"""Callers of streams leave after two seconds without an event; the rest is for the
+first one of a crowded server."""
+_HOPELESS_FACTOR = 2.0
+"""A last try is refused only if its wait is predicted as so many times too long: the
+prediction may be wrong, and a refusal is the end."""
+_LEAST_LEFT_PART = 0.1
+"""Of the places that become free, for those who are late. Some callers always leave
+early, so that a little remains even if fresh requests need all."""
 _RATE_WINDOW_S = 2.0
 _LEAST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 2.5
@@ -40,6 +46,8 @@
         Its caller has tried before, and may not come back.
     priority : int
         0 is the most urgent.
+    first_s : float
+        From getting a place to the first of the answer, in seconds.
     """
 
     __slots__ = (
@@ -48,23 +56,33 @@
         "deadline_s",
         "is_last_try",
         "priority",
+        "first_s",
     )
 
-    def __init__(self, arrived_s, on_time_until_s, deadline_s, is_last_try, priority=1):
+    def __init__(
+        self,
+        arrived_s,
+        on_time_until_s,
+        deadline_s,
+        is_last_try,
+        priority=1,
+        first_s=USUAL_FIRST_S,
+    ):
         self.priority = priority
         self.arrived_s = arrived_s
         self.on_time_until_s = on_time_until_s
         self.deadline_s = deadline_s
         self.is_last_try = is_last_try
+        self.first_s = first_s
 
     def can_be_on_time(self, now):
         """Tell whether a place now would be soon enough."""
-        return now + _FIRST_ANSWER_S <= self.on_time_until_s
+        return now + self.first_s <= self.on_time_until_s
 
     @property
     def until_s(self):
-        """When waiting ends."""
-        return min(self.deadline_s, self.arrived_s + _LONGEST_WAIT_S)
+        """When waiting ends: later its caller would leave before the first event."""
+        return min(self.deadline_s - self.first_s, self.arrived_s + _BORNE_WAIT_S)
 
     def __eq__(self, other):
         return self is other
@@ -76,11 +94,13 @@
 class WaitingLine:
     """Those who wait for one service at one entry."""
 
-    __slots__ = ("_waiters", "_begun")
+    __slots__ = ("_waiters", "_begun", "_fresh", "_promised")
 
     def __init__(self):
         self._waiters = []
         self._begun = deque()
+        self._fresh = deque()
+        self._promised = deque()
 
     def __len__(self):
         return len(self._waiters)
@@ -95,18 +115,40 @@
             In seconds.
         """
         self._begun.append(now)
-        self._drop_old(now)
+        _drop_old(self._begun, now)
+
+    def note_arrived(self, waiter, now):
+        """
+        Note a request, whether it has to wait or not.
+
+        Parameters
+        ----------
+        waiter : Waiter
+        now : float
+            In seconds.
+        """
+        if waiter.can_be_on_time(now):
+            self._fresh.append(now)
+            _drop_old(self._fresh, now)
 
-    def _drop_old(self, now):
-        while self._begun and now - self._begun[0] > _RATE_WINDOW_S:
-            self._begun.popleft()
+    def _rate(self, now, least_rate):
+        _drop_old(self._begun, now)
+        return max(least_rate, len(self._begun) / _RATE_WINDOW_S)
 
-    def predicted_wait_s(self, now, least_rate):
+    def _left_rate(self, now, least_rate):
+        """Give the places a second that requests which can be on time leave over."""
+        rate = self._rate(now, least_rate)
+        _drop_old(self._fresh, now)
+        left = rate - len(self._fresh) / _RATE_WINDOW_S
+        return max(left, rate * _LEAST_LEFT_PART)
+
+    def predicted_wait_s(self, waiter, now, least_rate=1.0):
         """
-        Predict how long the last in line would wait.
+        Predict how long a request would wait for its place.
 
         Parameters
         ----------
+        waiter : Waiter
         now : float
             In seconds.
         least_rate : float
@@ -117,17 +159,25 @@
         -------
         float
         """
-        return (len(self._waiters) + 1) / self._rate(now, least_rate)
-
-    def _rate(self, now, least_rate):
-        self._drop_old(now)
-        return max(least_rate, len(self._begun) / _RATE_WINDOW_S)
-
-    def _will_be_on_time(self, waiter, now, least_rate):
-        # The punctual go first, so that only they are before it.
-        ahead = sum(other.can_be_on_time(now) for other in self._waiters)
-        wait_s = (ahead + 1) / self._rate(now, least_rate)
-        return waiter.can_be_on_time(now + wait_s)
+        fresh = sum(other.can_be_on_time(now) for other in self._waiters)
+        wait_s = (fresh + 1) / self._rate(now, least_rate)
+        if waiter.can_be_on_time(now + wait_s):
+            return wait_s
+        ahead = len(self._waiters) - fresh + self._outstanding(now)
+        if waiter.is_last_try:
+            # First tries that are late come after it, and so do those who were told
+            # to come back later than now.
+            ahead = sum(
+                other.is_last_try and not other.can_be_on_time(now)
+                for other in self._waiters
+            )
+        return wait_s + ahead / self._left_rate(now, least_rate)
+
+    def _outstanding(self, now):
+        """Count the callers that were told to come back, and whose time is to come."""
+        while self._promised and self._promised[0] <= now:
+            self._promised.popleft()
+        return len(self._promised)
 
     def admit(self, waiter, now, least_rate=1.0):
         """
@@ -148,18 +198,41 @@
 
         Notes
         -----
-        Who comes for the last time waits even if that will hardly do: a refusal
-        would be the end for certain.
+        Each refused request is told the time of its own turn, so that callers come
+        back one after the other as places become free, and not all at once.
         """
-        wait_s = self.predicted_wait_s(now, least_rate)
-        is_hopeless = wait_s > _LONGEST_WAIT_S and not self._will_be_on_time(
-            waiter, now, least_rate
-        )
-        if is_hopeless and not waiter.is_last_try:
-            return min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
+        wait_s = self.predicted_wait_s(waiter, now, least_rate)
+        longest_s = waiter.until_s - now
+        if waiter.is_last_try:
+            longest_s *= _HOPELESS_FACTOR
+        if wait_s > longest_s:
+            return self.promise(waiter, now, least_rate)
         self._waiters.append(waiter)
         return None
 
+    def promise(self, waiter, now, least_rate=1.0):
+        """
+        Tell a request that gets no place when its caller is to come back.
+
+        Parameters
+        ----------
+        waiter : Waiter
+        now : float
+            In seconds.
+        least_rate : float
+            See `predicted_wait_s`.
+
+        Returns
+        -------
+        float
+            In seconds.
+        """
+        wait_s = self.predicted_wait_s(waiter, now, least_rate)
+        retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
+        self._outstanding(now)
+        self._promised.append(now + retry_s)
+        return retry_s
+
     def leave(self, waiter):
         """Take a request out of the line."""
         if waiter in self._waiters:
@@ -188,3 +261,8 @@
         if first is not None:
             self._waiters.remove(first)
         return first
+
+
+def _drop_old(times, now):
+    while times and now - times[0] > _RATE_WINDOW_S:
+        times.popleft()
