Keep places for the punctual, and run fewer where gaps grow long; wait for a group

While the group formed anew, requests were sent one after the other and refused (server-refused 90 to 220 within two seconds); at a held group they hung until their callers left.

Change: GroupPulse tells from a gateway's own streams whether a group goes on: while it refuses, one request at a time tries it; while it stands still, all wait in line. Fewer places are used where most streams' gaps come near to what callers bear. 12 in 100 places are kept from late requests; who is late and can't have a place is told at once.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -56,15 +56,60 @@
         )
         line = self._lines.setdefault(exchange.service, WaitingLine())
         waiter = self._waiter(exchange)
-        line.note_arrived(waiter, trio.current_time())
-        if len(line) or not self._servers.has_place(exchange.service):
+        if len(line) or not self._has_place(exchange, waiter):
             refusal = await self._wait(exchange, line, waiter)
             if refusal is not None:
                 return Failure(refusal)
+        self._note_begun(exchange, line, waiter)
+        return await proceed()
+
+    def _note_begun(self, exchange, line, waiter):
         now = trio.current_time()
-        line.note_begun(now)
         exchange.is_late = not waiter.can_be_on_time(now)
-        return await proceed()
+        line.note_begun(now, exchange.is_late)
+
+    def _has_place(self, exchange, waiter):
+        is_late = not waiter.can_be_on_time(trio.current_time())
+        return self._servers.has_place(exchange.service, is_late)
+
+    async def place_again(self, exchange):
+        """
+        Wait once more, after a server has turned the request away.
+
+        Parameters
+        ----------
+        exchange : Exchange
+
+        Returns
+        -------
+        Refusal or None
+            None once there is a place.
+        """
+        line = self._lines[exchange.service]
+        waiter = self._waiter(exchange)
+        if self._has_place(exchange, waiter):
+            return None
+        refusal = await self._wait(exchange, line, waiter)
+        if refusal is None:
+            self._note_begun(exchange, line, waiter)
+        return refusal
+
+    def return_after_s(self, exchange):
+        """
+        Tell when a request that no server took is to come back.
+
+        Parameters
+        ----------
+        exchange : Exchange
+
+        Returns
+        -------
+        float
+            In seconds.
+        """
+        rate = self._servers.least_rate(exchange.service)
+        line = self._lines[exchange.service]
+        return line.promise(self._waiter(exchange), trio.current_time(), rate)
 
     def _waiter(self, exchange):
         route, account = exchange.route, exchange.account
@@ -91,8 +136,13 @@
         place = self._places[waiter] = _Place()
         self._wanted.set()
         try:
-            with trio.move_on_at(waiter.until_s):
+            with trio.move_on_at(min(waiter.until_s, waiter.late_from_s)):
                 await place.event.wait()
+            # Whoever has become late is told so at once, if that ends its prospects.
+            now = trio.current_time()
+            if not (place.is_given or line.is_hopeless(waiter, now, least_rate)):
+                with trio.move_on_at(waiter.until_s):
+                    await place.event.wait()
         finally:
             line.leave(waiter)
             del self._places[waiter]
@@ -125,8 +175,12 @@
 
     def _give_places(self, service, line):
         now = trio.current_time()
-        for _ in range(min(len(line), self._servers.free_places(service))):
-            waiter = line.next(now)
+        free = self._servers.free_places(service)
+        kept = self._servers.kept_places(service)
+        for left in range(free, 0, -1):
+            waiter = line.next(now, left, kept)
+            if waiter is None:
+                return
             place = self._places[waiter]
             place.is_given = True
             place.event.set()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -7,6 +7,7 @@
 
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke.record import Record
+from gooseberryyoke.routing import RouteKind
 from gooseberryyoke_daemon.gateway.headers import end_to_end, without
 from gooseberryyoke_daemon.wire import Request, WireError
 
@@ -72,12 +73,14 @@
         "sent_s",
         "first_s",
         "load",
+        "_pulse",
         "_stack",
         "_reply",
         "_chunks",
     )
 
-    def __init__(self, server, stack, reply, sent_s, load):
+    def __init__(self, server, stack, reply, sent_s, load, pulse=None):
+        self._pulse = pulse
         self.sent_s = sent_s
         self.first_s = None
         self.load = load
@@ -112,6 +115,8 @@
             try:
                 chunk = await anext(self._chunks, None)
                 self._note_begun()
+                if self._pulse is not None:
+                    self._pulse.gave(trio.current_time())
                 return chunk
             except WireError as exc:
                 detail = str(exc)
@@ -125,6 +130,19 @@
             self.first_s = now - self.sent_s
             self.server.pace.observe(self.first_s, now)
 
+    def note_gap(self, gap_s, target_s):
+        """
+        Note the time between two events.
+
+        Parameters
+        ----------
+        gap_s : float
+        target_s : float or None
+            What callers bear; None if the route doesn't tell.
+        """
+        if self._pulse is not None:
+            self._pulse.observe_gap(gap_s, target_s, trio.current_time())
+
     async def read(self, deadline_s):
         """
         Read the whole body.
@@ -149,12 +167,18 @@
 
     async def close(self):
         """End the attempt; a server that still works on it stops."""
-        self.server.load.own -= 1
+        _end(self.server, self._pulse)
         with trio.CancelScope(shield=True):
             await self._chunks.aclose()
             await self._stack.aclose()
 
 
+def _end(server, pulse):
+    server.load.own -= 1
+    if pulse is not None:
+        pulse.ended(trio.current_time())
+
+
 def _priority(exchange, last_event_id):
     """
     Tell a server's queue what to admit first: those who can still be on time.
@@ -213,21 +237,27 @@
         req = self._request(exchange, server, now, last_event_id)
         stack = AsyncExitStack()
         load = server.load.expected(now)
+        # Only streams show by their events that a group goes on.
+        pulse = server.pulse
+        if pulse is not None and exchange.route.kind is not RouteKind.STREAMING:
+            pulse = None
         server.load.own += 1
+        if pulse is not None:
+            pulse.sent(now)
         try:
             left_s = max(0.0, until_s - now)
             opened = self._client.open(server.address, req, left_s, fresh=True)
             reply = await stack.enter_async_context(opened)
         except WireError as exc:
-            server.load.own -= 1
+            _end(server, pulse)
             reason = "no-answer"
             if exc.verdict is Verdict.NOT_RUN:
                 reason = "not-connected"
             raise CallFailed(exc.verdict, reason, str(exc)) from exc
         except BaseException:
-            server.load.own -= 1
+            _end(server, pulse)
             raise
-        call = Call(server, stack, reply, now, load)
+        call = Call(server, stack, reply, now, load, pulse)
         try:
             self._check(exchange, server, call)
         except CallFailed:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -32,6 +32,8 @@
     sends : int
     verdict : Verdict
         Of all attempts so far.
+    longest_gap_s : float
+        Between two events of a stream, as they came from servers.
     """
 
     __slots__ = (
@@ -49,6 +51,7 @@
         "tried",
         "sends",
         "verdict",
+        "longest_gap_s",
     )
 
     def __init__(self, request, number, received_s):
@@ -66,3 +69,4 @@
         self.tried = set()
         self.sends = 0
         self.verdict = None
+        self.longest_gap_s = 0.0
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -84,7 +84,13 @@
                 Identify(lambda: watcher.table, names, rng, warm_up),
                 self._stopping,
                 self._admit,
-                Relay(servers, ServerCalls(client, names), budget, self.observer),
+                Relay(
+                    servers,
+                    ServerCalls(client, names),
+                    budget,
+                    self.observer,
+                    self._admit,
+                ),
             ]
         )
         self._server = HttpServer(self.handle, Limits())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -49,6 +49,9 @@
         if first_s is not None:
             self._put("observe", "first_token_seconds", labels, wait_s + first_s)
         self._put("observe", "answer_seconds", labels, now - exchange.received_s)
+        if exchange.longest_gap_s:
+            gap_s = exchange.longest_gap_s
+            self._put("observe", "longest_gap_seconds", labels, gap_s)
         margin_s = exchange.deadline_s - now
         self._put("observe", "deadline_margin_seconds", labels, margin_s)
         self._put("count", "verdicts_total", {**labels, "verdict": "ran"})
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -14,7 +14,6 @@
 __all__ = ["Relay"]
 
 _INTERNAL_ERROR = 500
-_NO_ROOM_RETRY_S = 0.25
 _NO_SERVER_RETRY_S = 0.5
 _REROUTES = 3
 """Attempts that never reached a server, for one request: connections refused by
@@ -35,11 +34,14 @@
         Of second attempts, which would otherwise multiply the load of servers that
         are sick.
     observer : GatewayObserver
+    admit : Admit
+        Where a request waits again that a server has turned away.
     """
 
-    __slots__ = ("_servers", "_calls", "_budget", "_observer")
+    __slots__ = ("_admit", "_servers", "_calls", "_budget", "_observer")
 
-    def __init__(self, servers, calls, budget, observer):
+    def __init__(self, servers, calls, budget, observer, admit):
+        self._admit = admit
         self._observer = observer
         self._servers = servers
         self._calls = calls
@@ -61,7 +63,7 @@
             except CallFailed as exc:
                 sent = exc.reason != "not-connected"
                 unsent += not sent
-                refusal = self._after(exchange, server, exc, unsent)
+                refusal = await self._after(exchange, server, exc, unsent)
             if refusal is not None:
                 return Failure(refusal)
 
@@ -122,6 +124,7 @@
             late=exchange.is_late,
             sent_ms=round((call.sent_s - exchange.received_s) * 1000),
             first_ms=None if call.first_s is None else round(call.first_s * 1000),
+            longest_gap_ms=round(exchange.longest_gap_s * 1000),
             total_ms=round((now - exchange.received_s) * 1000),
             table=exchange.table.version,
         )
@@ -176,7 +179,7 @@
         )
         return decision is RetryDecision.RETRY
 
-    def _after(self, exchange, server, exc, unsent):
+    async def _after(self, exchange, server, exc, unsent):
         """Decide what follows a failed attempt: None for another one."""
         self.note_broken(exchange, server, exc)
         if exc.reason == "not-connected":
@@ -184,6 +187,8 @@
             if unsent <= _REROUTES and trio.current_time() < exchange.deadline_s:
                 return None
         elif self._may_try_again(exchange):
+            if exchange.verdict is Verdict.NOT_RUN:
+                return await self._admit.place_again(exchange)
             return None
         return self._give_up(exchange, exc)
 
@@ -202,7 +207,8 @@
         if exc.reason == "server-refused":
             self._servers.note_refusal(server)
         elif exc.reason == "answer-stalled":
-            self._servers.shun_group(server)
+            if server.pulse is None:
+                server.health.failed(now)
         elif exc.reason != "server-error":
             server.health.failed(now)
             server.pace.observe(now - exchange.received_s, now)
@@ -220,7 +226,8 @@
     def _give_up(self, exchange, exc):
         if exchange.verdict is Verdict.NOT_RUN:
             detail = f"{exchange.sends} servers asked: {exc.reason}"
-            return Refusal(Verdict.NOT_RUN, 503, "no-room", detail, _NO_ROOM_RETRY_S)
+            retry_s = self._admit.return_after_s(exchange)
+            return Refusal(Verdict.NOT_RUN, 503, "no-room", detail, retry_s)
         is_late = trio.current_time() >= exchange.deadline_s
         status = 504 if is_late else 502
         return Refusal(exchange.verdict, status, exc.reason, exc.detail)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -9,6 +9,7 @@
 from gooseberryyoke.placement import (
     SHARE_LIFE_S,
     USUAL_FIRST_S,
+    GroupPulse,
     ServerHealth,
     ServerLoad,
     ServerPace,
@@ -24,20 +25,28 @@
 """Without a change, of which alone gateways are told. Bounds the memory: a server that
 crashed without a word is left out by its failures, not by its silence."""
 _FULL_PART = 0.75
-_GROUP_SHUN_S = 0.4
-"""A broken group forms anew in half a second once its rank is back; one request in so
-long finds out."""
+_KEPT_PART = 0.12
+"""Of all places, for requests that can be on time."""
 _USUAL_ANSWER_S = 2.0
 """A draft of 28 events at a busy engine."""
 
 
 class Server:
-    """One server with its load, health and pace."""
+    """
+    One server with its load, health and pace.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+    pulse : GroupPulse or None
+        Of its group.
+    """
 
-    __slots__ = ("entry", "address", "load", "health", "pace")
+    __slots__ = ("entry", "address", "load", "health", "pace", "pulse")
 
-    def __init__(self, entry):
+    def __init__(self, entry, pulse=None):
         self.entry = entry
+        self.pulse = pulse
         self.address = Address.parse(entry.address)
         self.load = ServerLoad()
         self.health = ServerHealth()
@@ -59,12 +68,21 @@
     rng : random.Random
     """
 
-    __slots__ = ("_book", "_by_id", "_data_centre", "_heard_s", "_peers", "_rng")
+    __slots__ = (
+        "_book",
+        "_by_id",
+        "_data_centre",
+        "_heard_s",
+        "_peers",
+        "_pulses",
+        "_rng",
+    )
 
     def __init__(self, data_centre, rng):
         self._book = ServerBook()
         self._by_id = {}
         self._heard_s = {}
+        self._pulses = {}
         self._peers = 0
         self._data_centre = data_centre
         self._rng = rng
@@ -82,6 +100,8 @@
             known = self._book.entries.get(entry.id)
             if not self._book.take(entry, now):
                 continue
+            if entry.place is not None and not entry.place.is_open:
+                self._pulse(entry).refused(now)
             if known is None or known.state is not entry.state:
                 log_event(
                     "server-known",
@@ -101,10 +121,15 @@
             if is_same and server.entry.address == entry.address:
                 server.entry = entry
             else:
-                self._by_id[id] = Server(entry)
+                self._by_id[id] = Server(entry, self._pulse(entry))
         for id in set(self._by_id) - set(self._book.entries):
             del self._by_id[id]
 
+    def _pulse(self, entry):
+        if entry.place is None:
+            return None
+        return self._pulses.setdefault(entry.place.group, GroupPulse())
+
     def of_service(self, service):
         """
         List the servers that may get work.
@@ -134,10 +159,12 @@
         Returns
         -------
         Server or None
+            Of a group that doesn't go on only if there is no other.
         """
-        candidates = [s for s in self.of_service(service) if s.entry.id not in tried]
         now = trio.current_time()
-        return choose_server(candidates, self._data_centre, now, self._rng)
+        ready = [s for s in self.of_service(service) if s.entry.id not in tried]
+        going = [s for s in ready if s.pulse is None or s.pulse.places(1, now)]
+        return choose_server(going or ready, self._data_centre, now, self._rng)
 
     def note_refusal(self, server):
         """
@@ -155,52 +182,77 @@
         """
         now = trio.current_time()
         is_full = server.load.expected(now) > server.entry.slots * _FULL_PART
-        if is_full or server.entry.place is None:
+        if is_full or server.pulse is None:
             server.health.was_full(now)
-            return
-        self.shun_group(server)
+        else:
+            server.pulse.refused(now)
 
-    def shun_group(self, server):
+    def free_places(self, service):
         """
-        Leave a server's whole group out for a moment.
+        Count the requests that servers could begin at once.
 
         Parameters
         ----------
-        server : Server
-            Without a group it is left out alone.
+        service : str
+
+        Returns
+        -------
+        int
+            See `gooseberryyoke.placement.free_places`; of each group what its pulse
+            lets through.
         """
         now = trio.current_time()
-        place = server.entry.place
-        for other in self._by_id.values():
-            is_member = other is server or (
-                place is not None
-                and other.entry.place is not None
-                and other.entry.place.group == place.group
-            )
-            if is_member:
-                other.health.shun(now, _GROUP_SHUN_S)
+        by_pulse = {}
+        for server in self.of_service(service):
+            by_pulse.setdefault(server.pulse, []).append(server)
+        free = 0
+        for pulse, servers in by_pulse.items():
+            count = free_places(servers, now)
+            slots = sum(server.entry.slots for server in servers)
+            free += count if pulse is None else pulse.places(count, now, slots)
+        return free
+
+    def kept_places(self, service):
+        """
+        Count the places that late requests leave free.
 
-    def free_places(self, service):
-        """See `gooseberryyoke.placement.free_places`."""
-        return free_places(self.of_service(service), trio.current_time())
+        Parameters
+        ----------
+        service : str
 
-    def has_place(self, service):
+        Returns
+        -------
+        int
+            None of a group that is being tried: any request will do for that.
+        """
+        servers = self.of_service(service)
+        if any(s.pulse is not None and s.pulse.is_tried for s in servers):
+            return 0
+        return round(sum(server.entry.slots for server in servers) * _KEPT_PART)
+
+    def has_place(self, service, is_late=False):
         """
         Tell whether a request could begin at once.
 
         Parameters
         ----------
         service : str
+        is_late : bool
+            Some places are kept from those that can't be on time any more.
 
         Returns
         -------
         bool
-            True also if no server is known: there is nothing to wait for.
+            True also if no server is known, or none that is sound and could be
+            waited for: the attempt tells the reason.
         """
         servers = self.of_service(service)
-        if all(s.health.is_shunned(trio.current_time()) for s in servers):
+        now = trio.current_time()
+        is_held = any(s.pulse and not s.pulse.places(1, now) for s in servers)
+        if not is_held and all(s.health.is_shunned(now) for s in servers):
             return True
-        return free_places(servers, trio.current_time()) > 0
+        kept = self.kept_places(service) if is_late else 0
+        return self.free_places(service) > kept
 
     def first_s(self, service):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -28,7 +28,15 @@
         Whose answer has begun.
     """
 
-    __slots__ = ("_relay", "_exchange", "_call", "_splitter", "_ready", "_last_id")
+    __slots__ = (
+        "_relay",
+        "_exchange",
+        "_call",
+        "_splitter",
+        "_ready",
+        "_last_id",
+        "_last_event_s",
+    )
 
     def __init__(self, relay, exchange, call):
         self._relay = relay
@@ -37,6 +45,7 @@
         self._splitter = EventSplitter()
         self._ready = []
         self._last_id = None
+        self._last_event_s = None
 
     async def start(self):
         """
@@ -125,4 +134,14 @@
                     Verdict.MAY_HAVE_RUN, "answer-garbled", detail
                 ) from exc
             if events:
+                self._note_gap()
                 return events
+
+    def _note_gap(self):
+        now = trio.current_time()
+        if self._last_event_s is not None:
+            gap_s = now - self._last_event_s
+            exchange = self._exchange
+            exchange.longest_gap_s = max(exchange.longest_gap_s, gap_s)
+            self._call.note_gap(gap_s, exchange.route.target_gap_s)
+        self._last_event_s = now
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -12,6 +12,7 @@
 )
 # 41 ms between tokens for 95 in 100 is what callers are promised.
 _TOKEN_BUCKETS_S = (0.01, 0.02, 0.03, 0.041, 0.06, 0.1, 0.25, 1.0, _INFINITY)
+_GAP_BUCKETS_S = (0.04, 0.06, 0.08, 0.1, 0.12, 0.16, 0.25, 0.5, 1.0, 2.0, _INFINITY)
 _MARGIN_BUCKETS_S = (
     *(-5.0, -1.0, -0.25, 0.0, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0),
     _INFINITY,
@@ -60,6 +61,12 @@
         CALL_LABELS,
         _TOKEN_BUCKETS_S,
     ),
+    Definition(
+        "longest_gap_seconds",
+        "Longest time between two events of one streamed answer, as servers sent them.",
+        CALL_LABELS,
+        _GAP_BUCKETS_S,
+    ),
     Definition(
         "answer_seconds",
         "From the arrival of a request to the end of its answer.",
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -5,11 +5,17 @@
 from gooseberryyoke.placement.load import SHARE_LIFE_S, ServerLoad
 from gooseberryyoke.placement.pace import ServerPace
 from gooseberryyoke.placement.patience import PatienceLeft
-from gooseberryyoke.placement.waiting import USUAL_FIRST_S, Waiter, WaitingLine
+from gooseberryyoke.placement.pulse import GroupPulse
+from gooseberryyoke.placement.waiting import (
+    USUAL_FIRST_S,
+    Waiter,
+    WaitingLine,
+)
 
 __all__ = [
     "SHARE_LIFE_S",
     "USUAL_FIRST_S",
+    "GroupPulse",
     "PatienceLeft",
     "ServerHealth",
     "ServerLoad",
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/pulse.py
@@ -0,0 +1,187 @@
+"""Whether a group of servers that work in step goes on.
+
+The load that this answers: one group is a whole service, and for some seconds it does
+not work: its members have started again and it forms anew, or its step is held. Sent
+on, requests are refused one after the other, which spends the only return of their
+callers, or hang until the callers leave. Here they wait in line, while one request at
+a time tries the group.
+"""
+
+from math import floor
+
+__all__ = ["GroupPulse"]
+
+_STILL_S = 0.5
+"""Without an event from any of a group's streams. A crowded group gives one to each
+stream in a tenth of a second."""
+_FIRST_TRY_S = 0.15
+_LONGEST_TRY_S = 0.3
+"""Between two requests that try a group, so that it is used soon after it has formed;
+each costs its engine a refusal."""
+
+_LOOK_S = 0.2
+"""Two or three steps of a crowded group."""
+_RANK = 0.7
+"""Quantile of the gaps of one look. A step that is long is so for all streams; a link
+that loses packets makes gaps longer for some."""
+_LONG_GAP_PART = 0.85
+_SHORT_GAP_PART = 0.7
+"""Of the gap that callers bear."""
+_CUT = 0.9
+_GROW = 0.03
+_NEW_GROUP_PART = 0.6
+"""A group that has formed anew has its experts spread without regard to demand; its
+steps are long until they are placed."""
+_LEAST_LIMIT_PART = 0.5
+"""Fewer requests hardly shorten the steps of a group that one slow member holds up."""
+
+
+class GroupPulse:
+    """
+    What a gateway's own requests show of one group.
+
+    Attributes
+    ----------
+    in_flight : int
+        Streams of this gateway that the group has.
+    limit_part : float
+        Part of the group's places that may be taken.
+    """
+
+    __slots__ = (
+        "in_flight",
+        "limit_part",
+        "_active_s",
+        "_refused_s",
+        "_next_try_s",
+        "_pause_s",
+        "_look_s",
+        "_gaps",
+    )
+
+    def __init__(self):
+        self.in_flight = 0
+        self.limit_part = 1.0
+        self._look_s = float("-inf")
+        self._gaps = []
+        self._active_s = float("-inf")
+        self._refused_s = None
+        self._next_try_s = float("-inf")
+        self._pause_s = _FIRST_TRY_S
+
+    def sent(self, now):
+        """Note at a time in seconds that a stream was asked of a member."""
+        if not self.in_flight:
+            # Nothing was expected before.
+            self._active_s = now
+        self.in_flight += 1
+        if self._refused_s is not None:
+            self._next_try_s = now + self._pause_s
+
+    def ended(self, now):
+        """Note at a time in seconds that a stream which was asked for is over."""
+        was_still = self.is_still(now)
+        self.in_flight -= 1
+        if was_still and not self.in_flight:
+            # All were given up, and nothing is left that would show the next event.
+            self._refused_s = self._next_try_s = now
+
+    def gave(self, now):
+        """Note at a time in seconds that a part of an answer came."""
+        self._active_s = now
+        self._refused_s = None
+        self._pause_s = _FIRST_TRY_S
+
+    def observe_gap(self, gap_s, target_s, now):
+        """
+        Take the time between two events of one stream.
+
+        All streams of a group get their events together. Where the gaps come near to
+        what callers bear, fewer places are used until they shorten: one stream less
+        costs one caller a wait, one gap too long makes all streams of the group late.
+
+        Parameters
+        ----------
+        gap_s : float
+        target_s : float or None
+            What callers bear; None if nothing is known of it.
+        now : float
+            In seconds.
+        """
+        if target_s is None:
+            return
+        self._gaps.append(gap_s / target_s)
+        if now - self._look_s < _LOOK_S:
+            return
+        part = sorted(self._gaps)[floor(len(self._gaps) * _RANK)]
+        if part > _LONG_GAP_PART:
+            self.limit_part = max(_LEAST_LIMIT_PART, self.limit_part * _CUT)
+        elif part < _SHORT_GAP_PART:
+            self.limit_part = min(1.0, self.limit_part + _GROW)
+        self._look_s = now
+        self._gaps.clear()
+
+    def refused(self, now):
+        """
+        Note that a member with room refused a request, or said that it can't work.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+        """
+        if self._refused_s is not None and now < self._next_try_s:
+            # Requests that were there together are refused together.
+            return
+        if self._refused_s is not None:
+            self._pause_s = min(_LONGEST_TRY_S, 2 * self._pause_s)
+        self._refused_s = now
+        self.limit_part = min(self.limit_part, _NEW_GROUP_PART)
+        self._next_try_s = now + self._pause_s
+
+    @property
+    def is_tried(self):
+        """Whether it refused last, and gets one request at a time."""
+        return self._refused_s is not None
+
+    def is_still(self, now):
+        """
+        Tell whether requests at the group get no answers at present.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return self.in_flight > 0 and now - self._active_s > _STILL_S
+
+    def places(self, free, now, slots=0):
+        """
+        Tell how many requests may be sent to the group.
+
+        Parameters
+        ----------
+        free : int
+            That its members have room for.
+        slots : int
+            That its members have in all.
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        int
+            While the group refuses, one when it is time to try it again; none while
+            it stands still, since requests in flight show when it goes on.
+        """
+        if self.is_still(now):
+            return 0
+        if self._refused_s is None:
+            return max(0, free - round(slots * (1 - self.limit_part)))
+        if self.in_flight or now < self._next_try_s:
+            return 0
+        return min(1, free)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -22,9 +22,9 @@
 _HOPELESS_FACTOR = 2.0
 """A last try is refused only if its wait is predicted as so many times too long: the
 prediction may be wrong, and a refusal is the end."""
-_LEAST_LEFT_PART = 0.1
-"""Of the places that become free, for those who are late. Some callers always leave
-early, so that a little remains even if fresh requests need all."""
+_LEAST_LATE_PART = 0.1
+"""Of the places that become free, taken to be left for late requests while none has
+got one yet."""
 _RATE_WINDOW_S = 2.0
 _LEAST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 2.5
@@ -77,7 +77,12 @@
 
     def can_be_on_time(self, now):
         """Tell whether a place now would be soon enough."""
-        return now + self.first_s <= self.on_time_until_s
+        return now <= self.late_from_s
+
+    @property
+    def late_from_s(self):
+        """After which a place is too late for an answer on time."""
+        return self.on_time_until_s - self.first_s
 
     @property
     def until_s(self):
@@ -94,18 +99,18 @@
 class WaitingLine:
     """Those who wait for one service at one entry."""
 
-    __slots__ = ("_waiters", "_begun", "_fresh", "_promised")
+    __slots__ = ("_waiters", "_begun", "_begun_late", "_promised")
 
     def __init__(self):
         self._waiters = []
         self._begun = deque()
-        self._fresh = deque()
+        self._begun_late = deque()
         self._promised = deque()
 
     def __len__(self):
         return len(self._waiters)
 
-    def note_begun(self, now):
+    def note_begun(self, now, is_late=False):
         """
         Note that a request got a place, waiting or not.
 
@@ -113,34 +118,23 @@
         ----------
         now : float
             In seconds.
+        is_late : bool
+            It can't be on time any more.
         """
-        self._begun.append(now)
-        _drop_old(self._begun, now)
-
-    def note_arrived(self, waiter, now):
-        """
-        Note a request, whether it has to wait or not.
-
-        Parameters
-        ----------
-        waiter : Waiter
-        now : float
-            In seconds.
-        """
-        if waiter.can_be_on_time(now):
-            self._fresh.append(now)
-            _drop_old(self._fresh, now)
+        begun = self._begun_late if is_late else self._begun
+        begun.append(now)
+        _drop_old(begun, now)
 
     def _rate(self, now, least_rate):
         _drop_old(self._begun, now)
-        return max(least_rate, len(self._begun) / _RATE_WINDOW_S)
+        _drop_old(self._begun_late, now)
+        begun = len(self._begun) + len(self._begun_late)
+        return max(least_rate, begun / _RATE_WINDOW_S)
 
-    def _left_rate(self, now, least_rate):
+    def _late_rate(self, now, least_rate):
         """Give the places a second that requests which can be on time leave over."""
-        rate = self._rate(now, least_rate)
-        _drop_old(self._fresh, now)
-        left = rate - len(self._fresh) / _RATE_WINDOW_S
-        return max(left, rate * _LEAST_LEFT_PART)
+        least = self._rate(now, least_rate) * _LEAST_LATE_PART
+        return max(least, len(self._begun_late) / _RATE_WINDOW_S)
 
     def predicted_wait_s(self, waiter, now, least_rate=1.0):
         """
@@ -159,19 +153,19 @@
         -------
         float
         """
-        fresh = sum(other.can_be_on_time(now) for other in self._waiters)
+        others = [other for other in self._waiters if other is not waiter]
+        fresh = sum(other.can_be_on_time(now) for other in others)
         wait_s = (fresh + 1) / self._rate(now, least_rate)
         if waiter.can_be_on_time(now + wait_s):
             return wait_s
-        ahead = len(self._waiters) - fresh + self._outstanding(now)
+        late = [other for other in others if not other.can_be_on_time(now)]
         if waiter.is_last_try:
             # First tries that are late come after it, and so do those who were told
             # to come back later than now.
-            ahead = sum(
-                other.is_last_try and not other.can_be_on_time(now)
-                for other in self._waiters
-            )
-        return wait_s + ahead / self._left_rate(now, least_rate)
+            ahead = sum(other.is_last_try for other in late)
+        else:
+            ahead = len(late) + self._outstanding(now)
+        return wait_s + (ahead + 1) / self._late_rate(now, least_rate)
 
     def _outstanding(self, now):
         """Count the callers that were told to come back, and whose time is to come."""
@@ -201,15 +195,33 @@
         Each refused request is told the time of its own turn, so that callers come
         back one after the other as places become free, and not all at once.
         """
-        wait_s = self.predicted_wait_s(waiter, now, least_rate)
-        longest_s = waiter.until_s - now
-        if waiter.is_last_try:
-            longest_s *= _HOPELESS_FACTOR
-        if wait_s > longest_s:
+        if self.is_hopeless(waiter, now, least_rate):
             return self.promise(waiter, now, least_rate)
         self._waiters.append(waiter)
         return None
 
+    def is_hopeless(self, waiter, now, least_rate=1.0):
+        """
+        Tell whether a request will hardly get a place while its caller waits.
+
+        Parameters
+        ----------
+        waiter : Waiter
+            In the line or not.
+        now : float
+            In seconds.
+        least_rate : float
+            See `predicted_wait_s`.
+
+        Returns
+        -------
+        bool
+        """
+        longest_s = waiter.until_s - now
+        if waiter.is_last_try:
+            longest_s *= _HOPELESS_FACTOR
+        return self.predicted_wait_s(waiter, now, least_rate) > longest_s
+
     def promise(self, waiter, now, least_rate=1.0):
         """
         Tell a request that gets no place when its caller is to come back.
@@ -238,7 +250,7 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def next(self, now):
+    def next(self, now, free=1, kept=0):
         """
         Take the request out that gets the next place.
 
@@ -246,11 +258,18 @@
         ----------
         now : float
             In seconds.
+        free, kept : int
+            Places that are free, and how many of them are kept for requests that can
+            be on time: given to late ones, they are taken for as long as a stream
+            lasts, and those that come next are late as well.
 
         Returns
         -------
         Waiter or None
+            None also if all who wait are late, and no more places are free than are
+            kept.
         """
+        has_late_place = free > kept
 
         def order(waiter):
             is_late = not waiter.can_be_on_time(now)
@@ -258,8 +277,9 @@
             return (is_late, waiter.priority, is_first_try, waiter.arrived_s)
 
         first = min(self._waiters, key=order, default=None)
-        if first is not None:
-            self._waiters.remove(first)
+        if first is None or not (has_late_place or first.can_be_on_time(now)):
+            return None
+        self._waiters.remove(first)
         return first
 
 
