Trust what an order has shown over a report that lags, for as long as it may lag

A hold or an arm is done at once, is answered 200 and doesn't count in the sequence; the driver took the sequence for one more and had 32 orders refused. And a release was not sent at all: the report, 0.2 s old, did not show the hold yet, so that it seemed done.

Change: what an order has shown goes before the report for 0.3 s, and is dropped at the first refusal. The stand-in answers as engines do.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_orders.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/rank_orders.py
@@ -27,6 +27,8 @@
 RANK_PATH = "/internal/rank"
 
 _RETRY_S = 0.03
+_REPORT_LAG_S = 0.3
+"""By which the state that engines tell other machines is old at most."""
 _PREPARE_LIMIT_S = 2.8
 _LIMIT_S = 1.2
 """For an order that needs no copy. Engines may leave several sendings unanswered."""
@@ -176,10 +178,12 @@
         "_fence",
         "_at",
         "_known",
+        "_trusted_until_s",
     )
 
     def __init__(self, engine, order, epoch, fence, known):
         self._known = known
+        self._trusted_until_s = trio.current_time() + _REPORT_LAG_S
         self.status = None
         self.progress = Progress.OPEN
         self.sendings = 0
@@ -190,10 +194,13 @@
         self._at = None
 
     def _newer(self, status):
+        # A report that lags may not show yet that the group is held, and a release
+        # would be taken for done without being sent.
         known = self._known
         if status is None or known is None or known.epoch != status.epoch:
             return status
-        return known if known.sequence > status.sequence else status
+        is_old = trio.current_time() > self._trusted_until_s
+        return status if is_old or status.sequence > known.sequence else known
 
     async def step(self):
         """Look, and send if nothing shows that it was taken; True at the end."""
@@ -219,9 +226,12 @@
             # is known.
             self.progress = Progress.DONE
             self.status = after_order(self._order, status)
-            self.status = self.status.replace(sequence=status.sequence + 1)
+            if self._at is not None:
+                self.status = self.status.replace(sequence=self._at)
             return True
         if reply not in (OrderReply.TAKEN, OrderReply.DONE):
+            # Its sequence may be another one than was concluded: the report tells.
+            self._known = None
             return False
         self._at = status.sequence + 1
         return await self.step()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
@@ -261,26 +261,26 @@
         if self.step >= order.step or rank.held not in (None, order.step):
             return OrderReply.REFUSED
         rank.held = order.step
-        return OrderReply.TAKEN
+        return OrderReply.DONE
 
     def _arm(self, rank, order):
         is_prepared = rank.prepared is not None and rank.prepared[0] == order.version
         if self.step >= order.step or not is_prepared:
             return OrderReply.REFUSED
         rank.armed = (order.version, order.step)
-        return OrderReply.TAKEN
+        return OrderReply.DONE
 
     def _disarm(self, rank, order):
         if rank.version == order.version:
             return OrderReply.REFUSED
         if rank.armed is not None and rank.armed[0] == order.version:
             rank.armed = None
-        return OrderReply.TAKEN
+        return OrderReply.DONE
 
     def _release(self, rank, order):
         if rank.held == order.step:
             rank.held = None
-        return OrderReply.TAKEN
+        return OrderReply.DONE
 
     async def receive(self, number, *order):
         """
