--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -101,7 +101,7 @@
             if not self._book.take(entry, now):
                 continue
             if entry.place is not None and not entry.place.is_open:
-                self._pulse(entry).refused(now)
+                self._note_closed(entry, "announced")
             if known is None or known.state is not entry.state:
                 log_event(
                     "server-known",
@@ -130,6 +130,31 @@
             return None
         return self._pulses.setdefault(entry.place.group, GroupPulse())
 
+    def _note_closed(self, entry, why):
+        pulse = self._pulse(entry)
+        if not pulse.is_tried:
+            log_event(
+                "group-closed",
+                level="warning",
+                group=entry.place.group,
+                server=entry.id,
+                why=why,
+                epoch=entry.place.epoch,
+                limit_part=round(pulse.limit_part, 2),
+            )
+        pulse.refused(trio.current_time())
+
+    def limit_parts(self):
+        """
+        Tell which part of its places each group may use.
+
+        Returns
+        -------
+        dict of str to float
+            By group.
+        """
+        return {group: pulse.limit_part for group, pulse in self._pulses.items()}
+
     def of_service(self, service):
         """
         List the servers that may get work.
@@ -185,7 +210,7 @@
         if is_full or server.pulse is None:
             server.health.was_full(now)
         else:
-            server.pulse.refused(now)
+            self._note_closed(server.entry, "refused")
 
     def free_places(self, service):
         """
