Do not count tries at a group that refuses as begun, and let them take turns

Cause: found by a test of the whole gateway: of six callers that wait for a group which forms anew none was answered.

Change: what a server turns away goes back in line without being judged again, behind those that have not tried; the share of late requests is that of what has begun, one more on both sides. Tests: requests wait while their group forms anew, or stands still.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -89,7 +89,8 @@
         waiter = self._waiter(exchange)
         if self._has_place(exchange, waiter):
             return None
-        refusal = await self._wait(exchange, line, waiter)
+        line.put_back(waiter, trio.current_time())
+        refusal = await self._wait_for_place(exchange, line, waiter)
         if refusal is None:
             self._note_begun(exchange, line, waiter)
         return refusal
@@ -126,6 +127,7 @@
             exchange.tried_for_s > 0.0,
             priority,
             min(first_s, route.target_s * _LONGEST_FIRST_PART),
+            exchange.sends,
         )
 
     async def _wait(self, exchange, line, waiter):
@@ -133,6 +135,10 @@
         retry_s = line.admit(waiter, trio.current_time(), least_rate)
         if retry_s is not None:
             return self._refusal(exchange, line, "overloaded", retry_s)
+        return await self._wait_for_place(exchange, line, waiter)
+
+    async def _wait_for_place(self, exchange, line, waiter):
+        least_rate = self._servers.least_rate(exchange.service)
         place = self._places[waiter] = _Place()
         self._wanted.set()
         try:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_gateway.py
@@ -608,3 +608,73 @@
         assert len(server.requests) == 1
 
     run_routed(main)
+
+
+def test_requests_wait_while_their_group_forms_anew():
+    # All engines have started again, and refuse until their group has formed. Four
+    # callers come meanwhile, each with one return at most. Sent to one engine after
+    # the other they are refused twice and told to come back; held in line, all get
+    # their answers, and the engines refuse a few tries.
+    async def main(session):
+        opens_s = trio.current_time() + 0.5
+        answer, refuse = stream(1, 3), refusing()
+
+        async def forming(request):
+            if trio.current_time() < opens_s:
+                return await refuse(request)
+            return await answer(request)
+
+        servers = [
+            await session.add(
+                f"i-{rank}", forming, place=RankPlace("g", 2, rank, 2, False)
+            )
+            for rank in range(2)
+        ]
+        replies = []
+
+        async def ask(number):
+            replies.append(await session.ask("/draw/x", attempt=f"a{number}"))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(4):
+                nursery.start_soon(ask, number)
+        assert [reply.status for reply in replies] == [200] * 4
+        refused = sum(len(server.requests) for server in servers) - 4
+        assert 1 <= refused <= 4
+
+    run_routed(main)
+
+
+def test_requests_wait_while_their_group_stands_still():
+    # A group's step is held for a second: the stream that it has gets no event. A
+    # request that comes meanwhile would hang at an engine until its caller leaves; it
+    # waits in line, and is sent on once the group goes on.
+    async def main(session):
+        held = trio.Event()
+
+        async def answer(request):
+            async def events():
+                yield event(1)
+                if request.header(NAMES.attempt_id) == "first":
+                    await held.wait()
+                yield event(2)
+
+            return Response(200, [SIGNATURE, EVENTS], events())
+
+        place = RankPlace("g", 1, 0, 1, True)
+        server = await session.add("i-1", answer, place=place)
+        replies = []
+
+        async def ask(attempt):
+            replies.append(await session.ask("/draw/x", attempt=attempt))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, "first")
+            await trio.sleep(0.7)
+            nursery.start_soon(ask, "second")
+            await trio.sleep(0.3)
+            assert len(server.requests) == 1
+            held.set()
+        assert [reply.status for reply in replies] == [200, 200]
+
+    run_routed(main)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -22,9 +22,6 @@
 _HOPELESS_FACTOR = 2.0
 """A last try is refused only if its wait is predicted as so many times too long: the
 prediction may be wrong, and a refusal is the end."""
-_LEAST_LATE_PART = 0.1
-"""Of the places that become free, taken to be left for late requests while none has
-got one yet."""
 _RATE_WINDOW_S = 2.0
 _LEAST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 2.5
@@ -48,6 +45,8 @@
         0 is the most urgent.
     first_s : float
         From getting a place to the first of the answer, in seconds.
+    tries : int
+        Servers that have turned it away since it arrived.
     """
 
     __slots__ = (
@@ -57,6 +56,7 @@
         "is_last_try",
         "priority",
         "first_s",
+        "tries",
     )
 
     def __init__(
@@ -67,7 +67,9 @@
         is_last_try,
         priority=1,
         first_s=USUAL_FIRST_S,
+        tries=0,
     ):
+        self.tries = tries
         self.priority = priority
         self.arrived_s = arrived_s
         self.on_time_until_s = on_time_until_s
@@ -125,6 +127,23 @@
         begun.append(now)
         _drop_old(begun, now)
 
+    def put_back(self, waiter, now):
+        """
+        Let a request wait again that a server has turned away.
+
+        Parameters
+        ----------
+        waiter : Waiter
+        now : float
+            In seconds.
+        """
+        begun = self._begun if waiter.can_be_on_time(now) else self._begun_late
+        if begun:
+            # It did not begin. Counted, tries at a group that refuses look like
+            # fresh requests that need all places.
+            begun.pop()
+        self._waiters.append(waiter)
+
     def _rate(self, now, least_rate):
         _drop_old(self._begun, now)
         _drop_old(self._begun_late, now)
@@ -133,8 +152,12 @@
 
     def _late_rate(self, now, least_rate):
         """Give the places a second that requests which can be on time leave over."""
-        least = self._rate(now, least_rate) * _LEAST_LATE_PART
-        return max(least, len(self._begun_late) / _RATE_WINDOW_S)
+        rate = self._rate(now, least_rate)
+        # One more on both sides: before anything has begun, nothing speaks against
+        # late requests; a service whose group forms anew would refuse them for want
+        # of experience.
+        late = len(self._begun_late) + 1
+        return rate * late / (len(self._begun) + late)
 
     def predicted_wait_s(self, waiter, now, least_rate=1.0):
         """
@@ -274,7 +297,11 @@
         def order(waiter):
             is_late = not waiter.can_be_on_time(now)
             is_first_try = not waiter.is_last_try
-            return (is_late, waiter.priority, is_first_try, waiter.arrived_s)
+            # Attempts are few: those that try a group which refuses take turns.
+            return (
+                *(is_late, waiter.priority, waiter.tries),
+                *(is_first_try, waiter.arrived_s),
+            )
 
         first = min(self._waiters, key=order, default=None)
         if first is None or not (has_late_place or first.can_be_on_time(now)):
