Reckon with the places that servers have shown while none was free

While one member of the group is twelve times slower, places become free at a fraction of the usual rate; the line reckoned with the usual one at least (9 a second for each gateway), and let requests wait 1.1 to 1.3 s that were refused then.

Change: the usual rate counts only until no place has been free for two seconds. Test: nobody waits at servers that have come to a crawl (fails before: three were let wait).

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -56,17 +56,18 @@
         )
         line = self._lines.setdefault(exchange.service, WaitingLine())
         waiter = self._waiter(exchange)
-        if len(line) or not self._has_place(exchange, waiter):
+        has_to_wait = len(line) or not self._has_place(exchange, waiter)
+        if has_to_wait:
             refusal = await self._wait(exchange, line, waiter)
             if refusal is not None:
                 return Failure(refusal)
-        self._note_begun(exchange, line, waiter)
+        self._note_begun(exchange, line, waiter, has_to_wait)
         return await proceed()
 
-    def _note_begun(self, exchange, line, waiter):
+    def _note_begun(self, exchange, line, waiter, has_waited=True):
         now = trio.current_time()
         exchange.is_late = not waiter.can_be_on_time(now)
-        line.note_begun(now, exchange.is_late)
+        line.note_begun(now, exchange.is_late, has_waited)
 
     def _has_place(self, exchange, waiter):
         is_late = not waiter.can_be_on_time(trio.current_time())
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/patience.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/patience.py
@@ -4,8 +4,7 @@
 
 _REMEMBERED = 4096
 _SPREAD = 0.2
-"""Part of the longest patience by which first tries differ. Measured on the users'
-deployments: 0.15."""
+"""Part of the longest patience by which first tries differ."""
 
 
 class PatienceLeft:
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_waiting.py
@@ -165,3 +165,21 @@
     assert line.next(10.0, free=3, kept=4) is fresh
     assert line.next(10.0, free=3, kept=4) is None
     assert line.next(10.0, free=5, kept=4) is late
+
+
+def test_nobody_waits_at_servers_that_have_come_to_a_crawl():
+    # One member of a group is twelve times slower, and places become free once in two
+    # seconds instead of nine times a second. By the usual rate a dozen requests are
+    # let wait, all of them until their callers leave.
+    line = WaitingLine()
+    line.note_begun(0.0, has_waited=False)
+    for second in range(1, 10, 2):
+        line.note_begun(float(second))
+    answers = [line.admit(waiter(10.0), 10.0, least_rate=9.0) for _ in range(12)]
+    assert None not in answers
+    assert answers[0] >= 2.0
+
+
+def test_a_line_that_knows_nothing_yet_reckons_with_the_usual_rate():
+    line = WaitingLine()
+    assert line.admit(waiter(10.0), 10.0, least_rate=9.0) is None
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -23,6 +23,8 @@
 """A last try is refused only if its wait is predicted as so many times too long: the
 prediction may be wrong, and a refusal is the end."""
 _RATE_WINDOW_S = 2.0
+_LEAST_RATE = 0.25
+"""Places a second that are reckoned with while none becomes free at all."""
 _LEAST_RETRY_S = 0.3
 _LONGEST_RETRY_S = 2.5
 """Callers come back after at most a third of the eight seconds that they have."""
@@ -101,10 +103,11 @@
 class WaitingLine:
     """Those who wait for one service at one entry."""
 
-    __slots__ = ("_waiters", "_begun", "_begun_late", "_promised")
+    __slots__ = ("_waiters", "_begun", "_begun_late", "_promised", "_free_s")
 
     def __init__(self):
         self._waiters = []
+        self._free_s = None
         self._begun = deque()
         self._begun_late = deque()
         self._promised = deque()
@@ -112,7 +115,7 @@
     def __len__(self):
         return len(self._waiters)
 
-    def note_begun(self, now, is_late=False):
+    def note_begun(self, now, is_late=False, has_waited=True):
         """
         Note that a request got a place, waiting or not.
 
@@ -122,7 +125,11 @@
             In seconds.
         is_late : bool
             It can't be on time any more.
+        has_waited : bool
+            No place was free when it came.
         """
+        if not has_waited:
+            self._free_s = now
         begun = self._begun_late if is_late else self._begun
         begun.append(now)
         _drop_old(begun, now)
@@ -147,8 +154,13 @@
     def _rate(self, now, least_rate):
         _drop_old(self._begun, now)
         _drop_old(self._begun_late, now)
-        begun = len(self._begun) + len(self._begun_late)
-        return max(least_rate, begun / _RATE_WINDOW_S)
+        rate = (len(self._begun) + len(self._begun_late)) / _RATE_WINDOW_S
+        if self._free_s is None:
+            self._free_s = now
+        if now - self._free_s > _RATE_WINDOW_S:
+            # No place was free for so long: what has begun is all that servers can do.
+            return max(_LEAST_RATE, rate)
+        return max(least_rate, rate)
 
     def _late_rate(self, now, least_rate):
         """Give the places a second that requests which can be on time leave over."""
