Decide on places in one module without I/O, and work each figure out once

- Servers.free_places, kept_places, has_place and a filter in Servers.choose decided on groups and late requests beside the sockets, and listed a service's servers three times for one answer.
They stand in placement/places.py now and take the list; choose_server leaves groups out that do not go on, as it does shunned servers.
- Servers.first_s wrote the median of placement.choose again: it calls usual_pace.
A pace of exactly 0.0 s, which no network gives, is left out there.
- A refused request's wait was predicted twice, and the usual rate asked for twice by each that waits; empty lines were looked at each 10 ms.
- GroupPulse kept a time of which only its presence was read: is_tried.
- Waiter has a module of its own.
Two conditions in the stand-in could not be false.

Left as it is: the stand-in's own reading of an order's effect beside progress_of. It checks that code, and must not call it.

Two tests added for places of several groups and for late requests; no assertion changed, the candidates of one test have a pulse.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -91,7 +91,8 @@
         if self._has_place(exchange, waiter):
             return None
         line.put_back(waiter, trio.current_time())
-        refusal = await self._wait_for_place(exchange, line, waiter)
+        least_rate = self._servers.least_rate(exchange.service)
+        refusal = await self._wait_for_place(exchange, line, waiter, least_rate)
         if refusal is None:
             self._note_begun(exchange, line, waiter)
         return refusal
@@ -136,10 +137,9 @@
         retry_s = line.admit(waiter, trio.current_time(), least_rate)
         if retry_s is not None:
             return self._refusal(exchange, line, "overloaded", retry_s)
-        return await self._wait_for_place(exchange, line, waiter)
+        return await self._wait_for_place(exchange, line, waiter, least_rate)
 
-    async def _wait_for_place(self, exchange, line, waiter):
-        least_rate = self._servers.least_rate(exchange.service)
+    async def _wait_for_place(self, exchange, line, waiter, least_rate):
         place = self._places[waiter] = _Place()
         self._wanted.set()
         try:
@@ -177,7 +177,8 @@
                 self._wanted = trio.Event()
                 await self._wanted.wait()
             for service, line in self._lines.items():
-                self._give_places(service, line)
+                if line:
+                    self._give_places(service, line)
             await trio.sleep(_LOOK_S)
 
     def _give_places(self, service, line):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -1,7 +1,6 @@
 """The backend servers as this gateway sees them."""
 
 from collections import Counter
-from statistics import median
 
 import trio
 
@@ -15,6 +14,9 @@
     ServerPace,
     choose_server,
     free_places,
+    has_place,
+    kept_places,
+    usual_pace,
 )
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import Address
@@ -25,8 +27,6 @@
 """Without a change, of which alone gateways are told. Bounds the memory: a server that
 crashed without a word is left out by its failures, not by its silence."""
 _FULL_PART = 0.75
-_KEPT_PART = 0.12
-"""Of all places, for requests that can be on time."""
 _USUAL_ANSWER_S = 2.0
 """A draft of 28 events at a busy engine."""
 
@@ -187,9 +187,8 @@
             Of a group that doesn't go on only if there is no other.
         """
         now = trio.current_time()
-        ready = [s for s in self.of_service(service) if s.entry.id not in tried]
-        going = [s for s in ready if s.pulse is None or s.pulse.places(1, now)]
-        return choose_server(going or ready, self._data_centre, now, self._rng)
+        candidates = [s for s in self.of_service(service) if s.entry.id not in tried]
+        return choose_server(candidates, self._data_centre, now, self._rng)
 
     def note_refusal(self, server):
         """
@@ -213,71 +212,16 @@
             self._note_closed(server.entry, "refused")
 
     def free_places(self, service):
-        """
-        Count the requests that servers could begin at once.
-
-        Parameters
-        ----------
-        service : str
-
-        Returns
-        -------
-        int
-            See `gooseberryyoke.placement.free_places`; of each group what its pulse
-            lets through.
-        """
-        now = trio.current_time()
-        by_pulse = {}
-        for server in self.of_service(service):
-            by_pulse.setdefault(server.pulse, []).append(server)
-        free = 0
-        for pulse, servers in by_pulse.items():
-            count = free_places(servers, now)
-            slots = sum(server.entry.slots for server in servers)
-            free += count if pulse is None else pulse.places(count, now, slots)
-        return free
+        """See `gooseberryyoke.placement.free_places`."""
+        return free_places(self.of_service(service), trio.current_time())
 
     def kept_places(self, service):
-        """
-        Count the places that late requests leave free.
-
-        Parameters
-        ----------
-        service : str
+        """See `gooseberryyoke.placement.kept_places`."""
+        return kept_places(self.of_service(service))
 
-        Returns
-        -------
-        int
-            None of a group that is being tried: any request will do for that.
-        """
-        servers = self.of_service(service)
-        if any(s.pulse is not None and s.pulse.is_tried for s in servers):
-            return 0
-        return round(sum(server.entry.slots for server in servers) * _KEPT_PART)
-
-    def has_place(self, service, is_late=False):
-        """
-        Tell whether a request could begin at once.
-
-        Parameters
-        ----------
-        service : str
-        is_late : bool
-            Some places are kept from those that can't be on time any more.
-
-        Returns
-        -------
-        bool
-            True also if no server is known, or none that is sound and could be
-            waited for: the attempt tells the reason.
-        """
-        servers = self.of_service(service)
-        now = trio.current_time()
-        is_held = any(s.pulse and not s.pulse.places(1, now) for s in servers)
-        if not is_held and all(s.health.is_shunned(now) for s in servers):
-            return True
-        kept = self.kept_places(service) if is_late else 0
-        return self.free_places(service) > kept
+    def has_place(self, service, is_late):
+        """See `gooseberryyoke.placement.has_place`."""
+        return has_place(self.of_service(service), trio.current_time(), is_late)
 
     def first_s(self, service):
         """
@@ -290,12 +234,10 @@
         Returns
         -------
         float
-            In seconds; the median of the servers that have shown it lately.
+            In seconds.
         """
-        now = trio.current_time()
-        known = [server.pace.known(now) for server in self.of_service(service)]
-        known = [first_s for first_s in known if first_s is not None]
-        return median(known) if known else USUAL_FIRST_S
+        pace = usual_pace(self.of_service(service), trio.current_time())
+        return USUAL_FIRST_S if pace is None else pace
 
     def least_rate(self, service):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/rank_group.py
@@ -258,7 +258,7 @@
             rank.prepared = (order.version, own, repr(order.layout))
 
     def _hold(self, rank, order):
-        if self.step >= order.step or rank.held not in (None, order.step):
+        if self.step >= order.step or rank.held is not None:
             return OrderReply.REFUSED
         rank.held = order.step
         return OrderReply.DONE
@@ -278,8 +278,7 @@
         return OrderReply.DONE
 
     def _release(self, rank, order):
-        if rank.held == order.step:
-            rank.held = None
+        rank.held = None
         return OrderReply.DONE
 
     async def receive(self, number, *order):
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -1,16 +1,14 @@
 """Which server takes a request, and who waits when all are full."""
 
-from gooseberryyoke.placement.choose import choose_server, free_places
+from gooseberryyoke.placement.choose import choose_server, usual_pace
 from gooseberryyoke.placement.health import ServerHealth
 from gooseberryyoke.placement.load import SHARE_LIFE_S, ServerLoad
 from gooseberryyoke.placement.pace import ServerPace
 from gooseberryyoke.placement.patience import PatienceLeft
+from gooseberryyoke.placement.places import free_places, has_place, kept_places
 from gooseberryyoke.placement.pulse import GroupPulse
-from gooseberryyoke.placement.waiting import (
-    USUAL_FIRST_S,
-    Waiter,
-    WaitingLine,
-)
+from gooseberryyoke.placement.waiter import USUAL_FIRST_S, Waiter
+from gooseberryyoke.placement.waiting import WaitingLine
 
 __all__ = [
     "SHARE_LIFE_S",
@@ -24,4 +22,7 @@
     "WaitingLine",
     "choose_server",
     "free_places",
+    "has_place",
+    "kept_places",
+    "usual_pace",
 ]
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
@@ -2,7 +2,9 @@
 
 from statistics import median
 
-__all__ = ["choose_server", "free_places"]
+from gooseberryyoke.placement.places import goes_on, sound_servers
+
+__all__ = ["choose_server", "usual_pace"]
 
 _SLOW_FACTOR = 1.8
 """Against the median of a service's servers. Below it, differences are those of the
@@ -22,7 +24,7 @@
     Parameters
     ----------
     candidates : list
-        With ``entry``, ``load``, ``health`` and ``pace``.
+        With ``entry``, ``load``, ``health``, ``pace`` and ``pulse``.
     data_centre : str
         Of the entry; among equals a near server saves traffic between data centres.
     now : float
@@ -36,11 +38,12 @@
 
     Notes
     -----
-    Shunned servers are chosen only if all are: a request that is refused for sure
-    is worth less than one that may be answered.
+    Shunned servers, and those of groups that don't go on, are chosen only if all are
+    so: a request that is refused for sure is worth less than one that may be answered.
     """
-    pool = _sound(candidates, now) or candidates
-    usual_s = _usual_pace(pool, now)
+    going = [server for server in candidates if goes_on(server, now)] or candidates
+    pool = sound_servers(going, now) or going
+    usual_s = usual_pace(pool, now)
 
     def order(server):
         is_far = server.entry.data_centre != data_centre
@@ -51,32 +54,22 @@
     return min(pool, key=order, default=None)
 
 
-def free_places(candidates, now):
+def usual_pace(servers, now):
     """
-    Count the requests that servers could begin at once.
+    Tell how soon after getting a place an answer begins.
 
     Parameters
     ----------
-    candidates : list
-        As of `choose_server`.
+    servers : list
+        With ``pace``.
     now : float
         In seconds.
 
     Returns
     -------
-    int
+    float or None
+        In seconds; the median of the servers that have shown it lately.
     """
-    free = 0
-    for server in _sound(candidates, now):
-        free += max(0, int(server.entry.slots - server.load.expected(now)))
-    return free
-
-
-def _sound(candidates, now):
-    return [server for server in candidates if not server.health.is_shunned(now)]
-
-
-def _usual_pace(servers, now):
     known = [pace for server in servers if (pace := server.pace.known(now))]
     return median(known) if known else None
 
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/places.py
@@ -0,0 +1,111 @@
+"""How many requests servers could begin, and who may have those places."""
+
+__all__ = ["free_places", "goes_on", "has_place", "kept_places", "sound_servers"]
+
+_KEPT_PART = 0.12
+"""Of all places, for requests that can be on time."""
+
+
+def sound_servers(servers, now):
+    """List the servers that are not left out at a time in seconds."""
+    return [server for server in servers if not server.health.is_shunned(now)]
+
+
+def goes_on(server, now):
+    """
+    Tell whether a server's group takes a request at present.
+
+    Parameters
+    ----------
+    server : object
+        With ``pulse``, which is None for a server without a group.
+    now : float
+        In seconds.
+
+    Returns
+    -------
+    bool
+    """
+    return server.pulse is None or server.pulse.places(1, now) > 0
+
+
+def free_places(servers, now):
+    """
+    Count the requests that servers could begin at once.
+
+    Parameters
+    ----------
+    servers : list
+        With ``entry``, ``load``, ``health`` and ``pulse``.
+    now : float
+        In seconds.
+
+    Returns
+    -------
+    int
+        Of each group what its pulse lets through.
+    """
+    by_pulse = {}
+    for server in servers:
+        by_pulse.setdefault(server.pulse, []).append(server)
+    free = 0
+    for pulse, members in by_pulse.items():
+        room = _room(members, now)
+        free += room if pulse is None else pulse.places(room, now, _slots(members))
+    return free
+
+
+def kept_places(servers):
+    """
+    Count the places that late requests leave free.
+
+    Parameters
+    ----------
+    servers : list
+        As of `free_places`.
+
+    Returns
+    -------
+    int
+        None of a group that is being tried: any request will do for that.
+    """
+    if any(s.pulse is not None and s.pulse.is_tried for s in servers):
+        return 0
+    return round(_slots(servers) * _KEPT_PART)
+
+
+def has_place(servers, now, is_late):
+    """
+    Tell whether a request could begin at once.
+
+    Parameters
+    ----------
+    servers : list
+        As of `free_places`.
+    now : float
+        In seconds.
+    is_late : bool
+        Some places are kept from those that can't be on time any more.
+
+    Returns
+    -------
+    bool
+        True also if no server is known, or none that is sound and could be waited
+        for: the attempt tells the reason.
+    """
+    can_wait = any(not goes_on(server, now) for server in servers)
+    if not can_wait and not sound_servers(servers, now):
+        return True
+    kept = kept_places(servers) if is_late else 0
+    return free_places(servers, now) > kept
+
+
+def _slots(servers):
+    return sum(server.entry.slots for server in servers)
+
+
+def _room(servers, now):
+    return sum(
+        max(0, int(server.entry.slots - server.load.expected(now)))
+        for server in sound_servers(servers, now)
+    )
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/pulse.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/pulse.py
@@ -44,15 +44,17 @@
     ----------
     in_flight : int
         Streams of this gateway that the group has.
+    is_tried : bool
+        It refused last, and gets one request at a time.
     limit_part : float
         Part of the group's places that may be taken.
     """
 
     __slots__ = (
         "in_flight",
+        "is_tried",
         "limit_part",
         "_active_s",
-        "_refused_s",
         "_next_try_s",
         "_pause_s",
         "_look_s",
@@ -61,11 +63,11 @@
 
     def __init__(self):
         self.in_flight = 0
+        self.is_tried = False
         self.limit_part = 1.0
         self._look_s = float("-inf")
         self._gaps = []
         self._active_s = float("-inf")
-        self._refused_s = None
         self._next_try_s = float("-inf")
         self._pause_s = _FIRST_TRY_S
 
@@ -75,7 +77,7 @@
             # Nothing was expected before.
             self._active_s = now
         self.in_flight += 1
-        if self._refused_s is not None:
+        if self.is_tried:
             self._next_try_s = now + self._pause_s
 
     def ended(self, now):
@@ -84,12 +86,13 @@
         self.in_flight -= 1
         if was_still and not self.in_flight:
             # All were given up, and nothing is left that would show the next event.
-            self._refused_s = self._next_try_s = now
+            self.is_tried = True
+            self._next_try_s = now
 
     def gave(self, now):
         """Note at a time in seconds that a part of an answer came."""
         self._active_s = now
-        self._refused_s = None
+        self.is_tried = False
         self._pause_s = _FIRST_TRY_S
 
     def observe_gap(self, gap_s, target_s, now):
@@ -130,20 +133,15 @@
         now : float
             In seconds.
         """
-        if self._refused_s is not None and now < self._next_try_s:
-            # Requests that were there together are refused together.
-            return
-        if self._refused_s is not None:
+        if self.is_tried:
+            if now < self._next_try_s:
+                # Requests that were there together are refused together.
+                return
             self._pause_s = min(_LONGEST_TRY_S, 2 * self._pause_s)
-        self._refused_s = now
+        self.is_tried = True
         self.limit_part = min(self.limit_part, _NEW_GROUP_PART)
         self._next_try_s = now + self._pause_s
 
-    @property
-    def is_tried(self):
-        """Whether it refused last, and gets one request at a time."""
-        return self._refused_s is not None
-
     def is_still(self, now):
         """
         Tell whether requests at the group get no answers at present.
@@ -180,7 +178,7 @@
         """
         if self.is_still(now):
             return 0
-        if self._refused_s is None:
+        if not self.is_tried:
             return max(0, free - round(slots * (1 - self.limit_part)))
         if self.in_flight or now < self._next_try_s:
             return 0
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -2,11 +2,14 @@
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
 from gooseberryyoke.placement import (
+    GroupPulse,
     ServerHealth,
     ServerLoad,
     ServerPace,
     choose_server,
     free_places,
+    has_place,
+    kept_places,
 )
 
 
@@ -18,6 +21,7 @@
         self.load.own = own
         self.health = ServerHealth()
         self.pace = ServerPace()
+        self.pulse = None
 
 
 def choose(*candidates, now=0.0):
@@ -122,3 +126,30 @@
     assert load.expected(0.0) == 8
     load.unheard = 0
     assert load.expected(0.0) == 2
+
+
+def group(pulse, *members):
+    for member in members:
+        member.pulse = pulse
+    return list(members)
+
+
+def test_a_group_that_refuses_offers_one_place_to_any_request():
+    # Two groups serve one service, and one of them forms anew: it is tried by one
+    # request when it is time, late or not, and the other one goes on.
+    refusing, going = GroupPulse(), GroupPulse()
+    refusing.refused(0.0)
+    closed = group(refusing, Candidate("w"), Candidate("x"))
+    servers = closed + group(going, Candidate("y", own=2), Candidate("z"))
+    assert free_places(servers, 0.1) == 10
+    assert free_places(servers, 0.2) == 11
+    assert kept_places(closed) == 0
+    assert has_place(closed, 0.2, is_late=True)
+    assert choose(*servers, now=0.1) == "z"
+
+
+def test_late_requests_leave_some_places_free():
+    servers = [Candidate("x", own=5), Candidate("y", own=6)]
+    assert kept_places(servers) == 1
+    assert has_place(servers, 0.0, is_late=False)
+    assert not has_place(servers, 0.0, is_late=True)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -10,15 +10,8 @@
 
 from collections import deque
 
-from gooseberryyoke.record import Record
+__all__ = ["WaitingLine"]
 
-__all__ = ["USUAL_FIRST_S", "Waiter", "WaitingLine"]
-
-USUAL_FIRST_S = 0.2
-"""From a free place to the first of an answer, while no server has shown it."""
-_BORNE_WAIT_S = 1.3
-"""Callers of streams leave after two seconds without an event; the rest is for the
-first one of a crowded server."""
 _HOPELESS_FACTOR = 2.0
 """A last try is refused only if its wait is predicted as so many times too long: the
 prediction may be wrong, and a refusal is the end."""
@@ -30,76 +23,6 @@
 """Callers come back after at most a third of the eight seconds that they have."""
 
 
-class Waiter(Record):
-    """
-    A request that waits.
-
-    Parameters
-    ----------
-    arrived_s : float
-    on_time_until_s : float
-        When its answer must begin to be on time.
-    deadline_s : float
-        When its time is over.
-    is_last_try : bool
-        Its caller has tried before, and may not come back.
-    priority : int
-        0 is the most urgent.
-    first_s : float
-        From getting a place to the first of the answer, in seconds.
-    tries : int
-        Servers that have turned it away since it arrived.
-    """
-
-    __slots__ = (
-        "arrived_s",
-        "on_time_until_s",
-        "deadline_s",
-        "is_last_try",
-        "priority",
-        "first_s",
-        "tries",
-    )
-
-    def __init__(
-        self,
-        arrived_s,
-        on_time_until_s,
-        deadline_s,
-        is_last_try,
-        priority=1,
-        first_s=USUAL_FIRST_S,
-        tries=0,
-    ):
-        self.tries = tries
-        self.priority = priority
-        self.arrived_s = arrived_s
-        self.on_time_until_s = on_time_until_s
-        self.deadline_s = deadline_s
-        self.is_last_try = is_last_try
-        self.first_s = first_s
-
-    def can_be_on_time(self, now):
-        """Tell whether a place now would be soon enough."""
-        return now <= self.late_from_s
-
-    @property
-    def late_from_s(self):
-        """After which a place is too late for an answer on time."""
-        return self.on_time_until_s - self.first_s
-
-    @property
-    def until_s(self):
-        """When waiting ends: later its caller would leave before the first event."""
-        return min(self.deadline_s - self.first_s, self.arrived_s + _BORNE_WAIT_S)
-
-    def __eq__(self, other):
-        return self is other
-
-    def __hash__(self):
-        return id(self)
-
-
 class WaitingLine:
     """Those who wait for one service at one entry."""
 
@@ -189,11 +112,11 @@
         float
         """
         others = [other for other in self._waiters if other is not waiter]
-        fresh = sum(other.can_be_on_time(now) for other in others)
+        late = [other for other in others if not other.can_be_on_time(now)]
+        fresh = len(others) - len(late)
         wait_s = (fresh + 1) / self._rate(now, least_rate)
         if waiter.can_be_on_time(now + wait_s):
             return wait_s
-        late = [other for other in others if not other.can_be_on_time(now)]
         if waiter.is_last_try:
             # First tries that are late come after it, and so do those who were told
             # to come back later than now.
@@ -230,8 +153,9 @@
         Each refused request is told the time of its own turn, so that callers come
         back one after the other as places become free, and not all at once.
         """
-        if self.is_hopeless(waiter, now, least_rate):
-            return self.promise(waiter, now, least_rate)
+        wait_s = self.predicted_wait_s(waiter, now, least_rate)
+        if wait_s > _longest_wait_s(waiter, now):
+            return self._promise(wait_s, now)
         self._waiters.append(waiter)
         return None
 
@@ -252,10 +176,8 @@
         -------
         bool
         """
-        longest_s = waiter.until_s - now
-        if waiter.is_last_try:
-            longest_s *= _HOPELESS_FACTOR
-        return self.predicted_wait_s(waiter, now, least_rate) > longest_s
+        wait_s = self.predicted_wait_s(waiter, now, least_rate)
+        return wait_s > _longest_wait_s(waiter, now)
 
     def promise(self, waiter, now, least_rate=1.0):
         """
@@ -274,7 +196,9 @@
         float
             In seconds.
         """
-        wait_s = self.predicted_wait_s(waiter, now, least_rate)
+        return self._promise(self.predicted_wait_s(waiter, now, least_rate), now)
+
+    def _promise(self, wait_s, now):
         retry_s = min(_LONGEST_RETRY_S, max(_LEAST_RETRY_S, wait_s))
         self._outstanding(now)
         self._promised.append(now + retry_s)
@@ -311,8 +235,11 @@
             is_first_try = not waiter.is_last_try
             # Attempts are few: those that try a group which refuses take turns.
             return (
-                *(is_late, waiter.priority, waiter.tries),
-                *(is_first_try, waiter.arrived_s),
+                is_late,
+                waiter.priority,
+                waiter.tries,
+                is_first_try,
+                waiter.arrived_s,
             )
 
         first = min(self._waiters, key=order, default=None)
@@ -322,6 +249,11 @@
         return first
 
 
+def _longest_wait_s(waiter, now):
+    longest_s = waiter.until_s - now
+    return longest_s * _HOPELESS_FACTOR if waiter.is_last_try else longest_s
+
+
 def _drop_old(times, now):
     while times and now - times[0] > _RATE_WINDOW_S:
         times.popleft()
