--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -235,6 +235,7 @@
 
     def __init__(self, settings, network, rng, open_disk):
         from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke_daemon.control.load import ControlLoad
         from gooseberryyoke_daemon.control.node import ControlNode
         from gooseberryyoke_daemon.seats.keeper import SeatKeeper
         from gooseberryyoke_daemon.seats.stored import SeatFile
@@ -253,6 +254,7 @@
             self.seats_changed,
         )
         self.node = ControlNode(self.keeper, self.store, rng)
+        self._load = ControlLoad()
         # Servers report to one control process. Who follows only one other must
         # hear of all of them, and one that has just started hears of them at once.
         self._links = ControlLinks(
@@ -268,7 +270,9 @@
         """Serve until cancelled."""
         async with open_nursery() as nursery:
             await nursery.start(self.registers.run)
-            await self.serve_internal(nursery, [self._serve_replica, self.node.handle])
+            handlers = [self._load.count, self._serve_replica, self.node.handle]
+            await self.serve_internal(nursery, handlers)
+            await nursery.start(self._load.run)
             await nursery.start(self.keeper.run)
             await nursery.start(self.node.run)
             await nursery.start(self._links.run)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -131,6 +131,8 @@
             return None
         table = self._watcher.table
         metrics.set("bundle_version", 0 if table is None else table.version)
+        if self._watcher.first_after_s is not None:
+            metrics.set("start_to_table_seconds", self._watcher.first_after_s)
         metrics.set("requests_in_flight", self._server.exchanges)
         for service, count in self._servers.count_by_service().items():
             metrics.set("servers", count, service=service)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -104,6 +104,10 @@
 GAUGES = (
     Definition("bundle_version", "Version of the bundle in force; 0 for none."),
     Definition("bundle_lease_seconds", "What is left of the lease on the bundle."),
+    Definition(
+        "start_to_table_seconds",
+        "From the start of a gateway to its first route table; missing until then.",
+    ),
     Definition("requests_in_flight", "Requests without a final answer yet."),
     Definition(
         "tls_certificate_left_seconds",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -25,6 +25,8 @@
 
 _PAGE_SLOTS = 500
 _FIRST_PAUSE_S = 0.05
+_TELL_S = 2.0
+"""Between two lines about a replica that can't vote yet."""
 
 
 class FolderOutdated(Exception):
@@ -64,6 +66,8 @@
         self._acceptor = replica.acceptor
         self._state = replica.acceptor.state
         self._page_slots = _PAGE_SLOTS
+        self._began_s = trio.current_time()
+        self._told_s = self._began_s
 
     async def run(self):
         """
@@ -80,7 +84,7 @@
             if not self._acceptor.is_admitted:
                 await trio.sleep(pause_s * (1 + self._replica.rng.random()))
                 pause_s = min(2 * pause_s, self._replica.hello_s)
-        log_event("replica-votes", seat=self._replica.seat)
+        log_event("replica-votes", seat=self._replica.seat, after_ms=self._waited_ms())
         while True:
             await trio.sleep(self._replica.hello_s)
             self._watch_seat(await self._greet())
@@ -94,6 +98,28 @@
             founding = self._replica.founding
             judgement = judge_fresh(self._state, size, replies, founding)
         await self._follow(judgement, replies)
+        if not self._acceptor.is_admitted:
+            self._tell_waiting(judgement, replies)
+
+    def _waited_ms(self):
+        return round((trio.current_time() - self._began_s) * 1000)
+
+    def _tell_waiting(self, judgement, replies):
+        if trio.current_time() - self._told_s < _TELL_S:
+            return
+        self._told_s = trio.current_time()
+        heard = {reply.sender.seat: reply.state for reply in replies}
+        log_event(
+            "replica-waiting",
+            level="warning",
+            seat=self._replica.seat,
+            phase=self._acceptor.phase(),
+            may=judgement.admission.value,
+            after_ms=self._waited_ms(),
+            seats=len(self._replica.peers) + 1,
+            heard=heard,
+            unheard=sorted(self._replica.peers.keys() - heard.keys()),
+        )
 
     async def _follow(self, judgement, replies):
         admission = judgement.admission
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/tests/test_replica.py
@@ -9,7 +9,7 @@
 from gooseberryyoke.register.messages import Accept, CopyPage, Read
 from gooseberryyoke_daemon.registers import HttpPeer, PeerFailed, RegisterClient
 from gooseberryyoke_daemon.registers.peer import _Call
-from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.replica import Replica, joining as joining_module
 from gooseberryyoke_daemon.replica.memory import MemoryReplicas, _Link
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
 from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer, Request
@@ -482,3 +482,29 @@
 async def _ended(function, *args):
     with contextlib.suppress(PeerFailed):
         await function(*args)
+
+
+def test_a_replica_that_cannot_vote_says_whom_it_waits_for(monkeypatch):
+    # Guards against a deployment that doesn't start, with no line that says why.
+    lines = []
+
+    def log(event, **fields):
+        if event == "replica-waiting":
+            lines.append(fields)
+
+    monkeypatch.setattr(joining_module, "log_event", log)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            replicas = MemoryReplicas(nursery)
+            await replicas.start("r1")
+            await replicas.start("r2")
+            await trio.sleep(10)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    last = [fields for fields in lines if fields["seat"] == "r1"][-1]
+    assert last["unheard"] == ["r3"]
+    assert last["heard"] == {"r2": "fresh"}
+    assert last["may"] == "wait"
+    assert 2 <= len([fields for fields in lines if fields["seat"] == "r1"]) <= 5
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
@@ -33,6 +33,8 @@
         table that it has: refusing every caller costs them more than an older route.
     confirmed_s : float
         When the table was last known to be the newest, on trio's clock.
+    first_after_s : float or None
+        From the start of `run` to the first table in force.
     """
 
     def __init__(self, store, decode, on_install=lambda _: None, check_s=_CHECK_S):
@@ -42,11 +44,14 @@
         self._store = store
         self._decode = decode
         self._on_install = on_install
+        self.first_after_s = None
         self._is_reachable = True
+        self._began_s = 0.0
 
     async def run(self, task_status=TASK_STATUS_IGNORED):
         """Check for newer tables until cancelled."""
         task_status.started()
+        self._began_s = current_time()
         while True:
             await self.check()
             await sleep(_CHECK_S if self.table is None else self._check_s)
@@ -79,11 +84,14 @@
             )
             return
         self.table = decoded.unwrap()
+        if self.first_after_s is None:
+            self.first_after_s = current_time() - self._began_s
         log_event(
             "table-installed",
             version=stored.version,
             routes=len(self.table.routes),
             read_ms=round(read_s * 1000),
+            after_ms=round((current_time() - self._began_s) * 1000),
         )
         self._on_install(self.table)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -106,6 +106,7 @@
 class _FixedTable:
     def __init__(self, table):
         self.table = table
+        self.first_after_s = 0.0
 
 
 class RoutedSession:
