Keep followers and readers from crowding out the start of the replicas

What callers saw: no request was served, and the first configuration was acknowledged up to 28 s after it was sent. Cause: overload that feeds itself. At a start each of 67 announcements was told to each of 30 followers by a reply and a new call of its own (2,800 to 3,400 calls at a founder in five seconds, 260 later on), and 78 processes without a table read it 2.5 times a second, each with up to seven rounds that also prepared, which outranks the writer. Where control processes are somewhat slower, calls run into their limit of 0.5 s, are repeated, and founders no longer hear one another. Change: a control process tells news in rounds of 0.2 s; a read without a majority reads again instead of preparing; watchers and links back off, spread at random, after failures; ranks without a table look every 2 s; greetings are quick for 3 s only.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -33,6 +33,8 @@
 which is sent again only after a second: another server has answered by then."""
 _TABLE_CHECK_S = 10.0
 """At a rank, which needs of the table only how many experts its engines can hold."""
+_TABLE_SEARCH_S = 2.0
+"""At a rank without a table: there are several to each entry, and entries go first."""
 _LEASE_S = 2.5
 """Of a group. After a driver's death its group keeps its map for so long; renewals
 cost two writes to each replica in a third of it."""
@@ -126,7 +128,7 @@
         super().__init__(settings.node, network, rng)
         self._callers = settings.callers
         self.servers = Servers(settings.node.data_centre, rng)
-        self.watcher = TableWatcher(self.store, decode, self._use_table)
+        self.watcher = TableWatcher(self.store, decode, self._use_table, rng=rng)
         server_client = HttpClient(
             network,
             Limits(pool_connections=0),
@@ -313,7 +315,13 @@
         self._engine_at = engine_at
         engine = self._engine = engine_at(settings.engine)
         self._orders = RankOrders(engine)
-        self.watcher = TableWatcher(self.store, decode, check_s=_TABLE_CHECK_S)
+        self.watcher = TableWatcher(
+            self.store,
+            decode,
+            check_s=_TABLE_CHECK_S,
+            search_s=_TABLE_SEARCH_S,
+            rng=rng,
+        )
         port = settings.node.internal.port
         self.members = GroupMembers(str(settings.engine), port)
         self._links = ControlLinks(
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -14,6 +14,8 @@
 _CALL_TIMEOUT_S = 1.6
 """Twice the time for which a control process holds a call."""
 _RETRY_S = 0.25
+_SLOWEST_RETRY_S = 2.0
+"""After calls that ran into their time limit one after the other."""
 _FORGET_S = 20.0
 """A control process that never answers is asked for so long, unless it is a seed."""
 
@@ -101,6 +103,7 @@
 
     async def _follow(self, address):
         life, count, digest, is_reached = "", 0, "", None
+        pause_s = _RETRY_S
         answered_s = trio.current_time()
         target = Address.parse(address)
         while True:
@@ -110,8 +113,10 @@
                 "view": digest,
                 "may_wait": bool(is_reached),
             }
+            called_s = trio.current_time()
             reply = await self._call(target, payload)
             if reply is not None:
+                pause_s = _RETRY_S
                 life, count = reply["life"], reply["count"]
                 digest = reply["digest"]
                 answered_s = trio.current_time()
@@ -122,7 +127,9 @@
                 event = "control-reached" if is_reached else "control-lost"
                 log_event(event, level="warning", address=address)
             if reply is None:
-                await trio.sleep(_RETRY_S)
+                if trio.current_time() - called_s >= _CALL_TIMEOUT_S:
+                    pause_s = min(2 * pause_s, _SLOWEST_RETRY_S)
+                await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
         self._heard.discard(address)
         self._followed.discard(address)
         self._entries.pop(address, None)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -15,6 +15,11 @@
 _WAIT_S = 0.8
 """How long a follower's call is held when there is nothing new. Entries count as
 gone after three such rounds."""
+_GATHER_S = 0.2
+"""Between two rounds of telling the followers. Without it, each of a hundred servers
+that announce themselves at a start, or after the loss of everything, is told to each of
+tens of followers by a call of its own, and nothing else is answered meanwhile. A
+server's leaving must be in force in two seconds at all entries."""
 _FORGET_S = 86_400.0
 """A server not heard of for so long is dropped. Entries use a silent server as long
 as it answers them, and one that reports to another control process is heard of here
@@ -44,21 +49,35 @@
         self.store = store
         self._keeper = keeper
         self._life = f"{rng.getrandbits(64):016x}"
-        self._news = trio.Event()
+        self._changed = trio.Event()
+        self._told = trio.Event()
         self._is_leaving = False
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Forget old servers from time to time, until cancelled."""
-        task_status.started()
+        """Tell followers what changes, and forget old servers, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            nursery.start_soon(self._tell_in_rounds)
+            while True:
+                await trio.sleep(_LOOK_S)
+                for id in self.servers.forget_old(trio.current_time(), _FORGET_S):
+                    log_event("server-forgotten", server=id, silent_s=_FORGET_S)
+
+    async def _tell_in_rounds(self):
         while True:
-            await trio.sleep(_LOOK_S)
-            for id in self.servers.forget_old(trio.current_time(), _FORGET_S):
-                log_event("server-forgotten", server=id, silent_s=_FORGET_S)
+            await self._changed.wait()
+            self._changed = trio.Event()
+            self._end_round()
+            await trio.sleep(_GATHER_S)
+
+    def _end_round(self):
+        self._told.set()
+        self._told = trio.Event()
 
     def leave(self):
         """Answer every held call at once: the process ends."""
         self._is_leaving = True
-        self._wake()
+        self._end_round()
 
     def announce(self, entry):
         """
@@ -110,8 +129,7 @@
             self._wake()
 
     def _wake(self):
-        self._news.set()
-        self._news = trio.Event()
+        self._changed.set()
 
     async def handle(self, request):
         """
@@ -149,10 +167,8 @@
                 log_event("entry-reported", entry=name, is_open=presence.is_open)
                 self._wake()
         try:
-            is_known = self.servers.count <= since
-            is_known = is_known and payload["view"] == _digest(self._view())
-            if is_known and payload["may_wait"]:
-                await self._wait_for_news()
+            if payload["may_wait"] and not self._is_behind(payload, since):
+                await self._wait_for_round()
         except trio.Cancelled:
             if name is not None:
                 self.entries.broke_off(name, trio.current_time())
@@ -176,11 +192,19 @@
         entries = sorted(entry.as_list() for entry in there)
         return {"entries": entries, **self._keeper.say()}
 
-    async def _wait_for_news(self):
+    def _is_behind(self, payload, since):
+        """Tell whether a follower has missed what an earlier round told."""
         if self._is_leaving:
-            return
+            return True
+        if self._changed.is_set():
+            # The round that is due tells it.
+            return False
+        is_known = self.servers.count <= since
+        return not is_known or payload["view"] != _digest(self._view())
+
+    async def _wait_for_round(self):
         with trio.move_on_after(_WAIT_S):
-            await self._news.wait()
+            await self._told.wait()
 
     def count_ready(self):
         """Count the servers that take work."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -13,6 +13,9 @@
 
 _GREET_S = 0.5
 _FIRST_GREET_S = 0.1
+_FIRST_S = 3.0
+"""From the start, in which a replica that doesn't vote yet greets faster. Later it is
+others that it waits for, and what it asks of them keeps them from answering."""
 _GREET_TIMEOUT_S = 0.4
 _FORGET_S = 60.0
 _DISK_PAUSE_S = 1.0
@@ -114,8 +117,12 @@
                 await self._leave_seat()
             elif self.replica.is_ready:
                 await self._announce()
-            settled = self.replica is not None and self.replica.is_ready
-            await trio.sleep(_GREET_S if settled else _FIRST_GREET_S)
+            await trio.sleep(self._greet_pause_s())
+
+    def _greet_pause_s(self):
+        is_settled = self.replica is not None and self.replica.is_ready
+        is_early = trio.current_time() - self._started_s < _FIRST_S
+        return _FIRST_GREET_S if is_early and not is_settled else _GREET_S
 
     def _sit(self, seat, nursery, founding=frozenset()):
         may_found = bool(founding)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
@@ -1,5 +1,7 @@
 """The table that an entry goes by."""
 
+from random import Random
+
 from returns.result import Failure
 from trio import TASK_STATUS_IGNORED, current_time, sleep
 
@@ -10,6 +12,9 @@
 _CHECK_S = 0.4
 """Between two reads of the newest version. A fifth of the two seconds within which
 operators expect a table in force, so that a read may fail twice."""
+_SLOWEST_CHECK_S = 1.2
+"""After reads that failed one after the other. Processes that all go on at the usual
+pace keep replicas that come back after the loss of everything from doing so."""
 
 
 class TableWatcher:
@@ -25,6 +30,10 @@
         Takes each table that comes into force.
     check_s : float
         Between two reads, once there is a table.
+    search_s : float
+        Between two reads until then.
+    rng : random.Random, optional
+        Spreads the reads of many processes.
 
     Attributes
     ----------
@@ -37,8 +46,19 @@
         From the start of `run` to the first table in force.
     """
 
-    def __init__(self, store, decode, on_install=lambda _: None, check_s=_CHECK_S):
+    def __init__(
+        self,
+        store,
+        decode,
+        on_install=lambda _: None,
+        check_s=_CHECK_S,
+        search_s=_CHECK_S,
+        rng=None,
+    ):
         self._check_s = check_s
+        self._search_s = search_s
+        self._rng = rng or Random()
+        self._failures = 0
         self.table = None
         self.confirmed_s = float("-inf")
         self._store = store
@@ -54,7 +74,15 @@
         self._began_s = current_time()
         while True:
             await self.check()
-            await sleep(_CHECK_S if self.table is None else self._check_s)
+            await sleep(self._pause_s())
+
+    def _pause_s(self):
+        pause_s = self._search_s if self.table is None else self._check_s
+        if self._failures == 0:
+            return pause_s
+        slowest_s = max(pause_s, _SLOWEST_CHECK_S)
+        pause_s = min(pause_s * 2 ** (self._failures - 1), slowest_s)
+        return pause_s * self._rng.uniform(0.5, 1.0)
 
     async def check(self):
         """Read the newest table once, and install it if it is newer."""
@@ -62,7 +90,9 @@
         found = await self._store.newest()
         self._note_reachable(found)
         if isinstance(found, Failure):
+            self._failures += 1
             return
+        self._failures = 0
         self.confirmed_s = start_s
         stored = found.unwrap()
         # A table never goes back within one life of the process.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -5,18 +5,83 @@
 import trio
 import trio.testing
 
-from gooseberryyoke_daemon.compose_routed import Control
-from gooseberryyoke_daemon.routed_settings import ControlSettings, NodeSettings
+from gooseberryyoke.seat import SeatMap
+from gooseberryyoke_daemon.compose_routed import Control, Rank
+from gooseberryyoke_daemon.control import ControlLinks
+from gooseberryyoke_daemon.registers import RegisterClient
+from gooseberryyoke_daemon.routed_settings import (
+    ControlSettings,
+    NodeSettings,
+    RankSettings,
+)
+from gooseberryyoke_daemon.seats import SeatPeers
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
-from gooseberryyoke_daemon.wire import Address
+from gooseberryyoke_daemon.tables import TableStore, TableWatcher
+from gooseberryyoke_daemon.wire import Address, HttpClient
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["CONTACTS", "PORT", "ControlDeployment", "run_controls"]
+__all__ = ["CONTACTS", "PORT", "ControlDeployment", "TableFollower", "run_controls"]
 
 PORT = 70
 CONTACTS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
 
 
+class _SlowControl(Control):
+    """A control process that takes its time for each call, one after the other."""
+
+    call_s = 0.0
+
+    async def serve_internal(self, nursery, handlers):
+        self._processor = trio.Lock()
+        await super().serve_internal(nursery, [self._take_turn, *handlers])
+
+    async def _take_turn(self, request):
+        if not self.call_s:
+            return
+        # A call costs its time also after its caller has given it up.
+        with trio.CancelScope(shield=True):
+            async with self._processor:
+                await trio.sleep(self.call_s)
+
+
+class TableFollower:
+    """
+    A process that follows control processes and waits for the table, as entries do.
+
+    Parameters
+    ----------
+    host : MemoryHost
+    rng : random.Random
+    decode : callable
+        See `TableWatcher`.
+    founding : bool
+        It starts together with the first control processes.
+    seats : int
+        See `NodeSettings`.
+    """
+
+    def __init__(self, host, rng, decode, founding=False, seats=0):
+        client = HttpClient(host)
+        seat_map = SeatMap.of_founders(CONTACTS, seats) if founding else SeatMap()
+        peers = SeatPeers(seat_map, client)
+        self._registers = RegisterClient(peers.by_seat(), rng)
+        self.watcher = TableWatcher(TableStore(self._registers), decode, rng=rng)
+        self._links = ControlLinks(
+            client,
+            lambda: CONTACTS,
+            seat_map,
+            lambda servers: None,
+            lambda: self._registers.set_peers(peers.by_seat()),
+        )
+
+    async def run(self):
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._registers.run)
+            await nursery.start(self._links.run)
+            await nursery.start(self.watcher.run)
+
+
 class ControlDeployment:
     """
     Control processes by number; the first three are the contacts of all.
@@ -25,6 +90,8 @@
     ----------
     nursery : trio.Nursery
     seed : int
+    call_s : float
+        Time that a control process takes for each call of another process.
 
     Attributes
     ----------
@@ -33,8 +100,9 @@
         By host and path.
     """
 
-    def __init__(self, nursery, seed=0):
+    def __init__(self, nursery, seed=0, call_s=0.0):
         self.network = MemoryNetwork(latency_s=0.001)
+        self._call_s = call_s
         self.rng = Random(seed)
         self.disks = {}
         self.running = {}
@@ -52,12 +120,13 @@
         host = f"10.0.0.{number}"
         address = Address(host, PORT)
         node = NodeSettings(f"c{number}", "a", address, contacts, founding, seats)
-        control = Control(
+        control = _SlowControl(
             ControlSettings(node, "data"),
             self.network.host(host),
             Random(self.rng.getrandbits(64)),
             self._open_disk(host),
         )
+        control.call_s = self._call_s
         self._scopes[number] = trio.CancelScope()
         self.running[number] = control
         await self._nursery.start(self._run, number, control)
@@ -67,6 +136,29 @@
         with self._scopes[number]:
             await control.run(task_status=task_status)
 
+    def follow(self, number, decode, founding=False, seats=0):
+        """Start a `TableFollower`."""
+        rng = Random(self.rng.getrandbits(64))
+        host = self.network.host(f"10.7.0.{number}")
+        follower = TableFollower(host, rng, decode, founding, seats)
+        self._nursery.start_soon(follower.run)
+        return follower
+
+    def start_rank(self, number, decode, founding=False, seats=0):
+        """Start a process beside an engine that belongs to no group."""
+        host = f"10.8.0.{number}"
+        address = Address(host, PORT)
+        node = NodeSettings(f"r{number}", "a", address, CONTACTS, founding, seats)
+        rank = Rank(
+            RankSettings(node, Address(host, 80)),
+            decode,
+            lambda engine: None,
+            self.network.host(host),
+            Random(self.rng.getrandbits(64)),
+        )
+        self._nursery.start_soon(rank.run)
+        return rank
+
     def kill(self, number, wipe=False):
         """End a process as a loss of power does; with ``wipe`` its disk is lost too."""
         self._scopes[number].cancel()
@@ -98,13 +190,13 @@
         return replica is not None and replica.is_ready
 
 
-def run_controls(main, seed=0):
+def run_controls(main, seed=0, call_s=0.0):
     """Run ``main`` with a `ControlDeployment` under a mock clock."""
 
     async def body():
         with trio.fail_after(3600):
             async with trio.open_nursery() as nursery:
-                await main(ControlDeployment(nursery, seed))
+                await main(ControlDeployment(nursery, seed, call_s))
                 nursery.cancel_scope.cancel()
 
     trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/proposer.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/proposer.py
@@ -215,7 +215,7 @@
         if now >= self._deadline_s:
             return self._give_up()
         if self._phase == "pause":
-            return self._prepare(now)
+            return self._begin_again(now)
         if self._phase == "read":
             if not self._grace_over:
                 return self._end_grace(now)
@@ -224,6 +224,14 @@
             return self._finish(self._decision.result)
         return self._pause(now)
 
+    def _begin_again(self, now):
+        if isinstance(self.operation, ReadOperation) and self._ballot is None:
+            # No majority has answered so far. A prepare would not help, and would
+            # outrank the writers that are to bring the register about.
+            self._rounds += 1
+            return self.start(now)
+        return self._prepare(now)
+
     def _send(self, phase, message, now):
         self._phase = phase
         self._replies = {}
