Let a majority of the contacts settle who holds all seats at the first start

What callers saw: no request served, no configuration: a deployment that doesn't start for as long as one contact is away, or never if its control processes are killed while they found; and an acknowledged first table that is gone after the loss of one disk. Cause: founding needed all three contacts at the same moment, gave seats to these three of five only, and hung on a permission that the platform gives a process once. Until the vacant seats had copied, a write stood on exactly three seats, and a copy asks for three. Change: contacts vote in a register of their own on one list of founders, with a holder for each seat where as many processes are there (after 2.5 s a majority of seats will do). Each holder begins by the settled list, without waiting for others, once: its empty folder is known by a nonce. The vote and the nonce are on disk, so a restart goes on without the permission. A contact without a record of its vote votes anew only after 8 s in which all contacts were heard and nobody told of seats. Why it works: two lists would need two majorities of the same three contacts; no identity is used twice; with five holders from the beginning the usual repair covers every loss.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -59,8 +59,6 @@
         limits = Limits(body_bytes=_INTERNAL_BODY_BYTES, idle_s=30.0, pool_idle_s=10.0)
         self.client = HttpClient(network, limits)
         self.seats = SeatMap()
-        if settings.founding:
-            self.seats = SeatMap.of_founders(settings.contacts, settings.seats)
         self.peers = SeatPeers(self.seats, self.client)
         self.registers = RegisterClient(self.peers.by_seat(), rng)
         self.store = TableStore(self.registers)
@@ -239,7 +237,7 @@
         from gooseberryyoke_daemon.control.link import ControlLinks
         from gooseberryyoke_daemon.control.load import ControlLoad
         from gooseberryyoke_daemon.control.node import ControlNode
-        from gooseberryyoke_daemon.seats.keeper import SeatKeeper
+        from gooseberryyoke_daemon.seats.keeper import SeatFolders, SeatKeeper
         from gooseberryyoke_daemon.seats.stored import SeatFile
 
         super().__init__(settings.node, network, rng)
@@ -249,10 +247,14 @@
             self.seats,
             self.peers,
             self.client,
-            open_disk(f"{settings.data_folder}/registers"),
-            SeatFile(open_disk(f"{settings.data_folder}/seat")),
+            SeatFolders(
+                open_disk(f"{settings.data_folder}/registers"),
+                SeatFile(open_disk(f"{settings.data_folder}/seat")),
+                open_disk(f"{settings.data_folder}/founding"),
+            ),
             rng,
             settings.node.founding,
+            settings.node.seats,
             self.seats_changed,
         )
         self.node = ControlNode(self.keeper, self.store, rng)
@@ -282,8 +284,11 @@
             log_event("started", role="control")
 
     async def _serve_replica(self, request):
-        replica = self.keeper.replica
-        return None if replica is None else await replica.handle(request)
+        for served in (self.keeper.replica, self.keeper.founding):
+            response = None if served is None else await served.handle(request)
+            if response is not None:
+                return response
+        return None
 
     async def stop(self):
         """End calls in flight; the caller then cancels `run`."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -4,7 +4,7 @@
 import trio.testing
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
-from gooseberryyoke.seat import SeatMap
+from gooseberryyoke.seat import Candidate, SeatMap, choose_founders
 from gooseberryyoke_daemon.control.link import ControlLinks
 from gooseberryyoke_daemon.control.node import ControlNode
 from gooseberryyoke_daemon.control.presence import EntryPresence
@@ -19,7 +19,7 @@
     """Stands in for a `SeatKeeper`."""
 
     def __init__(self):
-        self.seats = SeatMap.of_founders([str(CONTROL)])
+        self.seats = choose_founders((), [Candidate(str(CONTROL), "a")], 1)
 
     def say(self):
         return {"seats": self.seats.to_json(), "controls": [str(CONTROL)]}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/paths.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/paths.py
@@ -4,6 +4,7 @@
     "ATTEMPTS_PATH",
     "ENTRY_PATH",
     "FOLLOW_PATH",
+    "FOUNDING_PATH",
     "SEATS_PATH",
     "SERVER_PATH",
 ]
@@ -11,5 +12,6 @@
 ATTEMPTS_PATH = "/internal/attempts"
 ENTRY_PATH = "/internal/announcements/entry"
 FOLLOW_PATH = "/internal/follow"
+FOUNDING_PATH = "/internal/founding"
 SEATS_PATH = "/internal/seats"
 SERVER_PATH = "/internal/announcements/server"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/registers/peer.py
@@ -52,6 +52,8 @@
     max_waiting : int
         Messages without a reply; more are refused, so that a silent replica
         does not gather tasks.
+    path : str
+        Under which the replica is served.
     """
 
     def __init__(
@@ -60,8 +62,10 @@
         address,
         timeout_s=_DEFAULT_TIMEOUT_S,
         max_waiting=_DEFAULT_WAITING,
+        path=REGISTER_PATH,
     ):
         self.address = address
+        self._path = path
         self._client = client
         self._timeout_s = timeout_s
         self._max_waiting = max_waiting
@@ -145,7 +149,7 @@
             reply = await self._client.json(
                 "POST",
                 self.address,
-                REGISTER_PATH,
+                self._path,
                 [orjson.Fragment(item) for item in packed],
                 timeout_s=self._timeout_s,
                 repeatable=True,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -5,7 +5,7 @@
 
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke.register import Acceptor, ReplicaState, decode, encode
-from gooseberryyoke.register.changes import Identified, PeerSeen
+from gooseberryyoke.register.changes import Founded, Identified, PeerSeen
 from gooseberryyoke.register.exceptions import UndecodableRecord
 from gooseberryyoke.register.messages import (
     Accept,
@@ -54,8 +54,15 @@
     may_found : bool
         Begin with an empty state if all replicas are empty. To be allowed only
         for a new deployment: with all folders lost, claims would be forgotten.
-    founding : frozenset of str, optional
-        The seats that begin so together; all by default.
+    founders : dict of str to Incarnation, optional
+        Identities that were settled for a new deployment. With an empty folder, this
+        replica begins as the one of its seat, with an empty state, and waits for
+        nobody else to do so.
+    forget_founders : async callable, optional
+        Called before the folder is emptied: it has voted as a founder, and must not
+        begin as that one again.
+    path : str
+        Under which this replica is served.
     hello_s : float
         Pause between two rounds of telling the peers how far one is.
     snapshot_bytes : int, optional
@@ -79,7 +86,9 @@
         peers,
         rng,
         may_found=False,
-        founding=None,
+        founders=None,
+        forget_founders=None,
+        path=REGISTER_PATH,
         hello_s=_DEFAULT_HELLO_S,
         snapshot_bytes=None,
     ):
@@ -87,12 +96,15 @@
         self.peers = dict(peers)
         self.rng = rng
         all_seats = frozenset(self.peers) | {seat}
-        self.founding = (founding or all_seats) if may_found else frozenset()
+        self.founding = all_seats if may_found else frozenset()
         self.hello_s = hello_s
         self.acceptor = None
         self.journal = None
         self.is_taken_over = False
         self._disk = disk
+        self._founders = founders
+        self._forget_founders = forget_founders
+        self._path = path
         self._snapshot_bytes = snapshot_bytes
         self._telling = 0
 
@@ -123,7 +135,7 @@
                 replies = _first(group).replies
                 self.acceptor = None
                 task_status = trio.TASK_STATUS_IGNORED
-                aside = await self._disk.run(self._disk.set_aside, "outdated")
+                aside = await self._set_aside("outdated")
                 log_event("folder-outdated", level="error", seat=self.seat, aside=aside)
 
     async def _live(self, replies, task_status):
@@ -133,10 +145,29 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.journal.run)
             if state.incarnation is None:
-                await self.identify(state, replies)
+                await self._begin(state, replies)
             self.acceptor = Acceptor(state, is_admitted=False)
             task_status.started()
-            await Joining(self, recovered.position).run()
+            await Joining(self, self.journal.position).run()
+
+    async def _begin(self, state, replies):
+        if self._founders is None:
+            await self.identify(state, replies)
+            return
+        own = self._founders[self.seat]
+        log_event(
+            "replica-founds",
+            seat=self.seat,
+            nonce=own.nonce,
+            founders=sorted(self._founders),
+        )
+        await self.record(state, [Identified(self.seat, own), Founded(self._founders)])
+
+    async def _set_aside(self, label):
+        self._founders = None
+        if self._forget_founders is not None:
+            await self._forget_founders()
+        return await self._disk.run(self._disk.set_aside, label)
 
     async def _recover_state(self):
         while True:
@@ -148,7 +179,7 @@
                 return recovered, state
             # The process held another seat, lost it and took this one. Voting on
             # the old folder would count promises that were made for the other seat.
-            aside = await self._disk.run(self._disk.set_aside, "other-seat")
+            aside = await self._set_aside("other-seat")
             log_event(
                 "folder-of-other-seat",
                 level="error",
@@ -169,7 +200,7 @@
         except DamagedFile as exc:
             # Cutting at the damage would forget what was acknowledged after it:
             # the folder takes a new identity and copies the state of the others.
-            aside = await self._disk.run(self._disk.set_aside, "damaged")
+            aside = await self._set_aside("damaged")
             log_event(
                 "folder-damaged",
                 level="error",
@@ -281,7 +312,7 @@
         Response or None
             None if the path is another's.
         """
-        if request.path != REGISTER_PATH:
+        if request.path != self._path:
             return None
         if request.method != "POST":
             detail = f"found {request.method}, expected POST"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
@@ -18,10 +18,11 @@
         Internal addresses of some control processes.
     founding : bool
         The whole deployment starts for the first time. ``contacts`` then names the
-        founders, in the same order at every process.
+        same processes everywhere, which vote on the founders.
     seats : int
-        Of the durable state. Read only when founding; a majority of them must be
-        left after the greatest loss that the deployment has to bear.
+        Of the durable state; as many as ``contacts`` if 0. Read only until the
+        deployment is founded; a majority of them must be left after the greatest
+        loss that it has to bear.
     """
 
     __slots__ = ("name", "data_centre", "internal", "contacts", "founding", "seats")
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -2,14 +2,21 @@
 
 import trio
 
-from gooseberryyoke.seat import Holder
+from gooseberryyoke.seat import (
+    Candidate,
+    Holder,
+    founder_incarnation,
+    may_elect_anew,
+)
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import SEATS_PATH
 from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.seats.founding import Founding, VoteLost
+from gooseberryyoke_daemon.seats.stored import SeatRecord
 from gooseberryyoke_daemon.storage import DiskFailed
 from gooseberryyoke_daemon.wire import Address, WireError
 
-__all__ = ["SeatKeeper"]
+__all__ = ["SeatFolders", "SeatKeeper"]
 
 _GREET_S = 0.5
 _FIRST_GREET_S = 0.1
@@ -27,6 +34,27 @@
 seat, and its votes count no more, so that too short a time costs a copy, not state."""
 
 
+class SeatFolders:
+    """
+    Where a control process keeps its part of the durable state.
+
+    Parameters
+    ----------
+    registers : FolderDisk or MemoryDisk
+        Of the replica.
+    seat_file : SeatFile
+    vote : FolderDisk or MemoryDisk
+        Of the vote on the founders.
+    """
+
+    __slots__ = ("registers", "seat_file", "vote")
+
+    def __init__(self, registers, seat_file, vote):
+        self.registers = registers
+        self.seat_file = seat_file
+        self.vote = vote
+
+
 class SeatKeeper:
     """
     Runs the replica of a control process.
@@ -41,17 +69,22 @@
         Shared with `SeatPeers`.
     peers : SeatPeers
     client : HttpClient
-    register_disk : FolderDisk or MemoryDisk
-    seat_file : SeatFile
+    folders : SeatFolders
     rng : random.Random
     founding : bool
-        The deployment starts for the first time: this process holds the seat at
-        which ``seats`` names its address, and may begin with an empty state.
+        The deployment starts for the first time: if this process is one of the
+        contacts, it votes on the founders.
+    size : int
+        Number of seats of a deployment that is founded.
+    on_seats : callable
+        Called when the seats have changed.
 
     Attributes
     ----------
     replica : Replica or None
         None while this process holds no seat.
+    founding : Founding or None
+        While this process votes on the founders.
     controls : dict of str to float
         Addresses of control processes, with the time of their last answer.
     """
@@ -63,26 +96,32 @@
         seats,
         peers,
         client,
-        register_disk,
-        seat_file,
+        folders,
         rng,
         founding,
+        size,
         on_seats=lambda: None,
     ):
         self.address = address
         self.replica = None
+        self.founding = None
         self.controls = {}
         self._told = {}
+        self._nonces = {}
         self._contacts = contacts
         self._seats = seats
         self._peers = peers
         self._client = client
-        self._disk = register_disk
-        self._file = seat_file
+        self._disk = folders.registers
+        self._file = folders.seat_file
+        self._vote_disk = folders.vote
         self._rng = rng
-        self._founding = seats.founding() if founding else frozenset()
+        self._is_first_start = founding
+        self._size = size
         self._on_seats = on_seats
-        self._saved = None
+        self._record = SeatRecord()
+        self._is_candidate = False
+        self._record_lock = trio.Lock()
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
         self._seat_scope = None
@@ -97,17 +136,93 @@
             Told at once.
         """
         self._started_s = trio.current_time()
-        seat, stored = await self._disk.run(self._file.load)
-        if self._seats.merge(stored.to_json()):
+        self._record = await self._disk.run(self._file.load)
+        if self._seats.merge(self._record.seats):
             self._on_seats()
-        if seat is None and self._founding:
-            seat = self._seats.seat_at(self.address)
         async with trio.open_nursery() as nursery:
             task_status.started()
-            if seat is not None:
-                self._sit(seat, nursery, self._founding)
+            if self._record.seat is not None:
+                self._sit(self._record.seat, nursery)
+            nursery.start_soon(self._found)
             await self._keep_in_touch(nursery)
 
+    async def _found(self):
+        """Take part in founding the deployment, until its seats are known."""
+        self._is_candidate = not await self._disk.run(self._disk.names)
+        while self._record.nonce is None:
+            electors = self._contacts() if self._is_first_start else ()
+            await self._keep_record(nonce=self._new_nonce(), electors=electors)
+        while not self._seats.holders:
+            if self.address in self._record.electors:
+                await self._vote(self._record.electors)
+            elif self._may_elect_anew():
+                log_event("founding-vote-anew", level="warning")
+                await self._keep_record(electors=self._contacts())
+            else:
+                await trio.sleep(_FIRST_GREET_S)
+        self._is_candidate = False
+        await self._keep_record()
+
+    async def _vote(self, electors):
+        size = self._size or len(electors)
+        self.founding = Founding(
+            self.address,
+            electors,
+            size,
+            self._seats,
+            self._vote_disk,
+            self._client,
+            self._rng,
+        )
+        try:
+            await self.founding.run(self._candidates)
+            if self._seats.holders:
+                self._on_seats()
+        except* VoteLost:
+            await self._keep_record(electors=())
+            aside = await self._disk.run(self._vote_disk.set_aside, "damaged")
+            log_event("founding-vote-lost", level="error", aside=aside)
+        finally:
+            self.founding = None
+
+    def _may_elect_anew(self):
+        contacts = self._contacts()
+        if self.address not in contacts:
+            return False
+        unfounded_s = trio.current_time() - self._started_s
+        heard = {self.address, *self._heard_lately()}
+        return may_elect_anew(contacts, heard, unfounded_s)
+
+    def _heard_lately(self):
+        now = trio.current_time()
+        return [a for a, at_s in self.controls.items() if now - at_s <= _VACANT_S]
+
+    def _candidates(self):
+        """List the processes with an empty folder that were heard of lately."""
+        nonces = {a: self._nonces[a] for a in self._heard_lately() if a in self._nonces}
+        if self._is_candidate:
+            nonces[self.address] = self._record.nonce
+        return [Candidate(address, nonce) for address, nonce in nonces.items()]
+
+    def _new_nonce(self):
+        return f"{self._rng.getrandbits(64):016x}"
+
+    async def _keep_record(self, **changes):
+        """Save the record with some changes; after a failure it stays as it was."""
+        async with self._record_lock:
+            record = self._record.replace(seats=self._seats.to_json(), **changes)
+            if record == self._record:
+                return True
+            try:
+                await self._disk.run(self._file.save, record)
+            except OSError as exc:
+                # The older file holds until the next change, or the next round.
+                log_event("seat-file-unsaved", level="error", why=str(exc))
+                await trio.sleep(_DISK_PAUSE_S)
+                return False
+            self._record = record
+            return True
+
     async def _keep_in_touch(self, nursery):
         while True:
             await self._greet_all()
@@ -124,9 +239,9 @@
         is_early = trio.current_time() - self._started_s < _FIRST_S
         return _FIRST_GREET_S if is_early and not is_settled else _GREET_S
 
-    def _sit(self, seat, nursery, founding=frozenset()):
-        may_found = bool(founding)
-        log_event("seat-taken", seat=seat, may_found=may_found)
+    def _sit(self, seat, nursery):
+        founders = self._founders_with(seat)
+        log_event("seat-taken", seat=seat, founds=founders is not None)
         peers = self._peers.by_seat()
         peers.pop(seat, None)
         replica = Replica(
@@ -134,13 +249,32 @@
             self._disk,
             peers,
             self._rng,
-            may_found=may_found,
-            founding=founding,
+            founders=founders,
+            forget_founders=self._renew_nonce,
         )
         self.replica = self._peers.own = replica
         self._seat_scope = trio.CancelScope()
         nursery.start_soon(self._run_replica, replica)
 
+    def _founders_with(self, seat):
+        """Give the founders if this process, with this folder, is the one of a seat."""
+        holder = self._seats.holders.get(seat)
+        if holder is None or self._record.nonce is None:
+            return None
+        own = Holder(founder_incarnation(self._record.nonce), self.address)
+        if holder != own:
+            return None
+        return {
+            seat: holder.incarnation
+            for seat, holder in self._seats.holders.items()
+            if not holder.is_vacant
+        }
+
+    async def _renew_nonce(self):
+        """Make sure that this process never begins as a founder again."""
+        while not await self._keep_record(nonce=self._new_nonce()):
+            pass
+
     async def _leave_seat(self):
         """
         Give up a seat that another process has taken meanwhile.
@@ -151,9 +285,10 @@
         self._seat_scope.cancel()
         while self.replica is not None:
             await trio.sleep(_FIRST_GREET_S)
+        # In this order: an empty folder under the old seat would take it back.
+        while not await self._keep_record(seat=None, nonce=self._new_nonce()):
+            pass
         try:
-            # In this order: an empty folder under the old seat would take it back.
-            await self._disk.run(self._file.save, None, self._seats)
             await self._disk.run(self._disk.set_aside, "taken-over")
         except OSError as exc:
             # Whoever sits down on the old folder next sets it aside.
@@ -163,7 +298,7 @@
         try:
             with self._seat_scope:
                 await replica.run()
-        except* DiskFailed as group:
+        except* (DiskFailed, OSError) as group:
             # A full or stalled disk recovers. Until then this process goes on without
             # its replica: servers and gateways report to it all the same.
             reasons = "; ".join(str(exc) for exc in group.exceptions)
@@ -176,16 +311,9 @@
         incarnation = replica.acceptor.state.incarnation
         if self._seats.take(replica.seat, Holder(incarnation, self.address)):
             self._on_seats()
-        packed = self._seats.to_json()
-        if packed == self._saved:
-            return
-        try:
-            await self._disk.run(self._file.save, replica.seat, self._seats)
-            self._saved = packed
-        except OSError as exc:
-            # Tried again with the next round; until then the older file holds, whose
-            # addresses still lead to the others.
-            log_event("seat-file-unsaved", level="error", why=str(exc))
+        # If this fails it is tried again with the next round; until then the addresses
+        # in the older file still lead to the others.
+        await self._keep_record(seat=replica.seat)
 
     def _look_for_seat(self, nursery):
         if trio.current_time() < self._sit_after_s:
@@ -237,7 +365,11 @@
                     del times[address]
 
     async def _greet(self, address):
-        payload = {"address": self.address, "seats": self._seats.to_json()}
+        payload = {
+            "address": self.address,
+            "seats": self._seats.to_json(),
+            "nonce": self._told_nonce(),
+        }
         try:
             reply = await self._client.json(
                 "POST",
@@ -265,7 +397,8 @@
         address : str
             Its address.
         payload : dict
-            With ``seats``, and ``controls`` that it knows.
+            With ``seats``, ``controls`` that it knows, and its ``nonce`` while it
+            may become a founder.
 
         Returns
         -------
@@ -278,7 +411,17 @@
         self._note_control(address)
         for other in payload.get("controls", ()):
             self._told[str(other)] = trio.current_time()
-        return self.say()
+        self._note_nonce(address, payload.get("nonce"))
+        return {**self.say(), "nonce": self._told_nonce()}
+
+    def _note_nonce(self, address, nonce):
+        if nonce is None:
+            self._nonces.pop(address, None)
+        else:
+            self._nonces[address] = str(nonce)
+
+    def _told_nonce(self):
+        return self._record.nonce if self._is_candidate else None
 
     def _note_control(self, address):
         now = trio.current_time()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
@@ -1,18 +1,44 @@
-"""The seat and the seats' addresses, kept in the data folder."""
+"""What a control process keeps of seats in its data folder."""
 
 import orjson
 
+from gooseberryyoke.record import Record
 from gooseberryyoke.seat import SeatMap
 from gooseberryyoke_daemon.logs import log_event
 
-__all__ = ["SeatFile"]
+__all__ = ["SeatFile", "SeatRecord"]
 
 _NAME = "seats.json"
 
 
+class SeatRecord(Record):
+    """
+    What a control process must find again when all have been stopped at once.
+
+    Parameters
+    ----------
+    seat : str or None
+        That it holds.
+    seats : dict
+        As of `SeatMap.to_json`; the addresses in it lead to the others.
+    nonce : str or None
+        See `Candidate`; None for a folder that was never written.
+    electors : tuple of str
+        The contacts among whom this process votes on the founders; empty if it doesn't.
+    """
+
+    __slots__ = ("seat", "seats", "nonce", "electors")
+
+    def __init__(self, seat=None, seats=None, nonce=None, electors=()):
+        self.seat = seat
+        self.seats = {} if seats is None else seats
+        self.nonce = nonce
+        self.electors = tuple(electors)
+
+
 class SeatFile:
     """
-    What a replica must find again when all have been stopped at once.
+    The file of a `SeatRecord`.
 
     Parameters
     ----------
@@ -31,31 +57,43 @@
 
         Returns
         -------
-        seat : str or None
-            None if the process held none, or the file can't be read.
-        seats : SeatMap
+        SeatRecord
+            An empty one if there is none, or it can't be read.
         """
-        seats = SeatMap()
         if _NAME not in self._disk.names():
-            return None, seats
+            return SeatRecord()
         try:
-            stored = orjson.loads(self._disk.read(_NAME))
-            seats.merge(stored["seats"])
-            seat = stored["seat"]
-            return None if seat is None else str(seat), seats
+            return _decode(orjson.loads(self._disk.read(_NAME)))
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as exc:
             # Without it the replica asks the others for the seat at its address.
             log_event("seat-file-unreadable", level="error", detail=str(exc))
-            return None, SeatMap()
+            return SeatRecord()
 
-    def save(self, seat, seats):
+    def save(self, record):
         """
         Write the file whole and sync it.
 
         Parameters
         ----------
-        seat : str or None
-        seats : SeatMap
+        record : SeatRecord
         """
-        content = {"seat": seat, "seats": seats.to_json()}
+        content = {
+            "seat": record.seat,
+            "seats": record.seats,
+            "nonce": record.nonce,
+            "electors": list(record.electors),
+        }
         self._disk.write_whole(_NAME, [orjson.dumps(content)])
+
+
+def _decode(stored):
+    seats = SeatMap()
+    seats.merge(stored["seats"])
+    seat, nonce = stored["seat"], stored.get("nonce")
+    electors = [str(address) for address in stored.get("electors", ())]
+    return SeatRecord(
+        None if seat is None else str(seat),
+        seats.to_json(),
+        None if nonce is None else str(nonce),
+        electors,
+    )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_start_under_load.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_start_under_load.py
@@ -53,10 +53,9 @@
     async def main(deployment):
         for number in range(1, CONTROLS + 1):
             await deployment.start(number, founding=True, seats=5)
-        options = {"founding": True, "seats": 5}
-        followers = [deployment.follow(n, decode, **options) for n in range(ENTRIES)]
+        followers = [deployment.follow(number, decode) for number in range(ENTRIES)]
         for number in range(RANKS):
-            deployment.start_rank(number, decode, **options)
+            deployment.start_rank(number, decode)
         with trio.fail_after(READY_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_announce_servers, deployment)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -54,15 +54,11 @@
     rng : random.Random
     decode : callable
         See `TableWatcher`.
-    founding : bool
-        It starts together with the first control processes.
-    seats : int
-        See `NodeSettings`.
     """
 
-    def __init__(self, host, rng, decode, founding=False, seats=0):
+    def __init__(self, host, rng, decode):
         client = HttpClient(host)
-        seat_map = SeatMap.of_founders(CONTACTS, seats) if founding else SeatMap()
+        seat_map = SeatMap()
         peers = SeatPeers(seat_map, client)
         self._registers = RegisterClient(peers.by_seat(), rng)
         self.watcher = TableWatcher(TableStore(self._registers), decode, rng=rng)
@@ -136,19 +132,19 @@
         with self._scopes[number]:
             await control.run(task_status=task_status)
 
-    def follow(self, number, decode, founding=False, seats=0):
+    def follow(self, number, decode):
         """Start a `TableFollower`."""
         rng = Random(self.rng.getrandbits(64))
         host = self.network.host(f"10.7.0.{number}")
-        follower = TableFollower(host, rng, decode, founding, seats)
+        follower = TableFollower(host, rng, decode)
         self._nursery.start_soon(follower.run)
         return follower
 
-    def start_rank(self, number, decode, founding=False, seats=0):
+    def start_rank(self, number, decode):
         """Start a process beside an engine that belongs to no group."""
         host = f"10.8.0.{number}"
         address = Address(host, PORT)
-        node = NodeSettings(f"r{number}", "a", address, CONTACTS, founding, seats)
+        node = NodeSettings(f"r{number}", "a", address, CONTACTS)
         rank = Rank(
             RankSettings(node, Address(host, 80)),
             decode,
--- a/packages/gooseberryyoke/src/gooseberryyoke/seat/seat_map.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/seat/seat_map.py
@@ -5,7 +5,6 @@
 
 __all__ = ["Holder", "SeatMap"]
 
-_FOUNDER = Incarnation(0, "")
 _NOWHERE = ""
 
 
@@ -16,7 +15,7 @@
     Parameters
     ----------
     incarnation : Incarnation
-        Identity of the data folder; generation 0 for a founder not heard of yet.
+        Identity of the data folder; generation 0 for a seat that nobody has held yet.
     address : str
         ``host:port`` of the process, for internal calls; empty for a seat that
         nobody has held yet.
@@ -34,6 +33,9 @@
         return self.address == _NOWHERE
 
 
+_VACANT = Holder(Incarnation(0, ""), _NOWHERE)
+
+
 class SeatMap:
     """
     The holders of all seats, as one process knows them.
@@ -46,7 +48,7 @@
     Attributes
     ----------
     holders : dict of str to Holder
-        By seat.
+        By seat; empty before the deployment is founded.
     """
 
     __slots__ = ("holders",)
@@ -55,27 +57,21 @@
         self.holders = {}
 
     @classmethod
-    def of_founders(cls, addresses, size=0):
+    def vacant(cls, size):
         """
-        Name the seats of a deployment that starts for the first time.
+        Name the seats of a deployment, with no holders.
 
         Parameters
         ----------
-        addresses : list of str
-            The same list in the same order at every process.
         size : int
-            Number of seats, if there are to be more than founders. The others are
-            vacant: they count in every majority from the beginning, so that it
-            never has to change.
 
         Returns
         -------
         SeatMap
         """
         seats = cls()
-        for number in range(max(size, len(addresses))):
-            address = addresses[number] if number < len(addresses) else _NOWHERE
-            seats.holders[str(number + 1)] = Holder(_FOUNDER, address)
+        for number in range(1, size + 1):
+            seats.holders[str(number)] = _VACANT
         return seats
 
     def addresses(self):
@@ -88,20 +84,6 @@
         """
         return {h.address for h in self.holders.values() if not h.is_vacant}
 
-    def founding(self):
-        """
-        List the seats whose holders are founders not heard of yet.
-
-        Returns
-        -------
-        frozenset of str
-        """
-        return frozenset(
-            seat
-            for seat, holder in self.holders.items()
-            if holder.incarnation == _FOUNDER and not holder.is_vacant
-        )
-
     def seat_at(self, address):
         """
         Find the seat that an address holds.
--- a/packages/gooseberryyoke/src/gooseberryyoke/seat/tests/test_seat_map.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/seat/tests/test_seat_map.py
@@ -1,13 +1,18 @@
 import pytest
 
 from gooseberryyoke.register.identity import Incarnation
-from gooseberryyoke.seat import Holder, SeatMap
+from gooseberryyoke.seat import Candidate, Holder, choose_founders
 
 FOUNDERS = ["10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70"]
 
 
-def test_founders_are_seated_in_the_order_of_the_list():
-    seats = SeatMap.of_founders(FOUNDERS)
+def _founded():
+    candidates = [Candidate(address, f"n{address}") for address in FOUNDERS]
+    return choose_founders(FOUNDERS, candidates, len(FOUNDERS))
+
+
+def test_founders_are_seated_in_the_order_of_their_addresses():
+    seats = _founded()
     assert seats.seat_at("10.0.0.2:70") == "2"
     assert seats.seat_at("10.0.0.9:70") is None
 
@@ -16,14 +21,14 @@
     old = Holder(Incarnation(1, "a"), "10.0.0.1:70")
     new = Holder(Incarnation(2, "b"), "10.0.0.9:70")
     for order in ([old, new], [new, old]):
-        seats = SeatMap.of_founders(FOUNDERS)
+        seats = _founded()
         for holder in order:
             seats.take("1", holder)
         assert seats.holders["1"] == new
 
 
 def test_maps_of_two_processes_agree_once_merged():
-    one, two = SeatMap.of_founders(FOUNDERS), SeatMap.of_founders(FOUNDERS)
+    one, two = _founded(), _founded()
     one.take("1", Holder(Incarnation(2, "x"), "10.0.0.9:70"))
     two.take("3", Holder(Incarnation(1, "y"), "10.0.0.3:70"))
     assert one.merge(two.to_json())
@@ -36,7 +41,7 @@
     "packed", [[], {"1": []}, {"1": ["x", "", "a"]}, {"1": 7}, {"1": [1, "", "a", 2]}]
 )
 def test_nothing_of_a_malformed_map_is_taken_over(packed):
-    seats = SeatMap.of_founders(FOUNDERS)
+    seats = _founded()
     before = seats.to_json()
     with pytest.raises((ValueError, TypeError, AttributeError)):
         seats.merge(packed)
