Take a stop that comes while a daemon starts for a stop in order

Cause: the signal was listened for only once the daemon had started; until then its default ended the process. Evidence: the life that was stopped has no line in its log; the one before it ends by the kill, the one after it starts six seconds later. Ruled out: load alone. Change: listen from the start of the event loop on.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/command.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/command.py
@@ -51,17 +51,19 @@
 
 
 async def _run_until_signal(daemon):
-    async with open_nursery() as nursery:
-        await nursery.start(daemon.run)
-        log_event("started")
-        with open_signal_receiver(SIGTERM, SIGINT) as signals:
+    # Opened before the daemon starts: a signal that comes meanwhile would otherwise
+    # end the process by its default, without a stop and with another exit code.
+    with open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async with open_nursery() as nursery:
+            await nursery.start(daemon.run)
+            log_event("started")
             async for number in signals:
                 log_event("stopping", signal=int(number))
                 break
             # A second signal ends the process at once, cutting what is left.
             nursery.start_soon(_cut_on_signal, signals, nursery.cancel_scope)
             await daemon.stop()
-        nursery.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
     log_event("stopped")
 
 
