Ask in one place whether a peer names a later holder of a seat

Found in reading the change over: the check stood in repair.py, twice in joining.py and twice in the search of schedules. All use is_replaced of repair.py now.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -23,6 +23,7 @@
 from gooseberryyoke.register.repair import (
     Admission,
     Contest,
+    is_replaced,
     judge_contest,
     judge_fresh,
     judge_kept,
@@ -105,12 +106,10 @@
                 pause_s = min(2 * pause_s, self._replica.hello_s)
 
     async def _watch_seat(self):
-        own = self._state.incarnation
-        known = own
-        while known <= own:
+        replies = []
+        while not is_replaced(self._state, replies):
             await trio.sleep(self._replica.hello_s)
-            rosters = [reply.sender.roster for reply in await self._greet()]
-            known = max((r.get(self._replica.seat, own) for r in rosters), default=own)
+            replies = await self._greet()
         # Another process has begun to take the seat. Proposers drop our votes
         # already; whether it also gets that far decides who holds the seat.
         self._acceptor.is_admitted = False
@@ -231,7 +230,7 @@
         """
         if await self._contest(sources) is not Contest.WON:
             return
-        if self._state.status == READY or self._is_replaced(replies):
+        if self._state.status == READY or is_replaced(self._state, replies):
             former = self._state.former or self._state.incarnation
             incarnation = next_incarnation(
                 self._replica.seat, replies, self._replica.rng
@@ -260,11 +259,6 @@
             self._tell_taken_over()
         return contest
 
-    def _is_replaced(self, replies):
-        own = self._state.incarnation
-        rosters = [reply.sender.roster for reply in replies]
-        return any(roster.get(self._replica.seat, own) > own for roster in rosters)
-
     async def _ask(self, seats, message, kind):
         """Send a message to some seats; return the replies of a kind, by seat."""
         replies = {}
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
@@ -15,6 +15,7 @@
     "Admission",
     "Contest",
     "Judgement",
+    "is_replaced",
     "judge_contest",
     "judge_fresh",
     "judge_kept",
@@ -82,7 +83,7 @@
     # A folder put back from an older copy has lost what it acknowledged since:
     # it would vote for a state without it. Its peers remember how far it was.
     is_outdated = any(reply.seen_position > position for reply in replies)
-    if _replaced(state, replies) or state.status == RECLAIMING:
+    if is_replaced(state, replies) or state.status == RECLAIMING:
         return _judge_replaced(is_outdated, size, replies)
     if is_outdated:
         return Judgement(Admission.RENEW)
@@ -160,7 +161,7 @@
     Judgement
         ``FOUND``, ``COPY``, ``RENEW`` or ``WAIT``.
     """
-    if _replaced(state, replies):
+    if is_replaced(state, replies):
         return Judgement(Admission.RENEW)
     for reply in replies:
         if reply.founders.get(state.seat) == state.incarnation:
@@ -179,7 +180,20 @@
     return Judgement(Admission.WAIT)
 
 
-def _replaced(state, replies):
+def is_replaced(state, replies):
+    """
+    Tell whether a peer names a later holder of a replica's seat.
+
+    Parameters
+    ----------
+    state : ReplicaState
+    replies : iterable
+        Replies with a ``sender`` stamp, from the other seats.
+
+    Returns
+    -------
+    bool
+    """
     known = [reply.sender.roster.get(state.seat) for reply in replies]
     return any(inc is not None and inc > state.incarnation for inc in known)
 
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -39,6 +39,7 @@
 from gooseberryyoke.register.repair import (
     Admission,
     Contest,
+    is_replaced,
     judge_contest,
     judge_fresh,
     judge_kept,
@@ -439,9 +440,7 @@
         if not replica.is_ready:
             self._try_to_join(replica)
             return
-        own = replica.state.incarnation
-        rosters = [hello.sender.roster for hello in self._greet(replica)]
-        if any(roster.get(replica.seat, own) > own for roster in rosters):
+        if is_replaced(replica.state, self._greet(replica)):
             replica.acceptor.is_admitted = False
 
     def _try_to_join(self, replica):
@@ -480,10 +479,8 @@
         """Take the seat back, a call at a time."""
         if (yield from self._contest(replica, sources)) is not Contest.WON:
             return
-        own = replica.state.incarnation
-        known = [hello.sender.roster.get(replica.seat, own) for hello in hellos]
-        if replica.state.status == READY or max(known, default=own) > own:
-            former = replica.state.former or own
+        if replica.state.status == READY or is_replaced(replica.state, hellos):
+            former = replica.state.former or replica.state.incarnation
             incarnation = next_incarnation(replica.seat, hellos, self.rng)
             replica.record([Reclaimed(incarnation, former)])
         name = Copy(replica.seat, replica.state.incarnation, "", 0)
