Let a process that can't end a takeover withdraw its identity

Operators can neither read nor change the table, two of three seats never vote again.

Cause: a process takes a seat and is held up, or killed, after one of two confirmations; the disk of the third seat is lost; the seat's former holder is back on its folder. It may vote only if the other has not joined, the one that confirmed can't tell, and the third seat has forgotten. Each waits for the others. The one that knows, the process that began, held its tongue: it takes no seat after a restart, or goes on waiting for a majority to copy from.

Ruled out: counting the confirmations that are left (both may have been given); letting the former holder go first after a while (the other may have voted).

Change: before a process asks to be confirmed it writes its identity down. If it can't end for 4 s, or is started again before it has joined, it withdraws the identity and tells so in its greetings; contests leave withdrawn identities out. A restarted folder that has never voted always takes a new identity. Replicas keep all identities that they confirmed and not just the latest, since an earlier one may have joined.

SeatReport carries lists now; the codec's sample changed with it, as strict.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -38,6 +38,9 @@
 
 _FIRST_PAUSE_S = 0.05
 _OUTBID_PAUSE_S = 3.0
+_WITHDRAW_S = 4.0
+"""After the first request to be confirmed, until a holder that can't join makes room.
+Longer than a replica takes to start again."""
 _TELL_S = 2.0
 """Between two lines about a replica that can't vote yet."""
 
@@ -76,6 +79,7 @@
         self._state = replica.acceptor.state
         self._copy = StateCopy(replica)
         self._has_renewed = False
+        self._asked_s = None
         self._began_s = trio.current_time()
         self._told_s = self._began_s
 
@@ -126,6 +130,14 @@
         await self._follow(judgement, replies)
         if not self._acceptor.is_admitted:
             self._tell_waiting(judgement, replies)
+            if judgement.admission is Admission.WAIT and self._is_stuck():
+                # Some may have confirmed this holder, and can't tell whether all
+                # others have: the former holder waits for as long as this one does.
+                self._tell_taken_over()
+
+    def _is_stuck(self):
+        asked_s = self._asked_s
+        return asked_s is not None and trio.current_time() - asked_s > _WITHDRAW_S
 
     def _waited_ms(self):
         return round((trio.current_time() - self._began_s) * 1000)
@@ -203,7 +215,8 @@
         for page in pages:
             changes += [SeatNamed(*item) for item in page.sender.roster.items()]
         for report in reports.values():
-            changes += [SeatTaken(*item) for item in report.joined.items()]
+            for seat, confirmed in report.joined.items():
+                changes += [SeatTaken(seat, incarnation) for incarnation in confirmed]
         await self._record(changes)
         if await self._is_confirmed():
             await self._replica.before_joining()
@@ -217,6 +230,9 @@
         Until then the seat's former holder may come back: it has lost nothing, and a
         seat whose former and new holder are both out counts for a lost disk.
         """
+        await self._replica.before_confirming(self._state.incarnation)
+        if self._asked_s is None:
+            self._asked_s = trio.current_time()
         confirm = Confirm(self._replica.seat, self._state.incarnation)
         confirmed = await self._ask(self._replica.peers, confirm, Confirmed)
         return len(confirmed) >= majority(len(self._replica.peers) + 1)
@@ -254,7 +270,8 @@
         if len(largest_consistent(reports)) < len(reports):
             return Contest.OPEN
         size = len(self._replica.peers) + 1
-        contest = judge_contest(self._state, size, reports)
+        withdrawn = self._replica.withdrawn()
+        contest = judge_contest(self._state, size, reports, withdrawn)
         if contest is Contest.LOST:
             self._tell_taken_over()
         return contest
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -19,7 +19,7 @@
     SeatQuery,
 )
 from gooseberryyoke.register.repair import next_incarnation
-from gooseberryyoke.register.state import READY
+from gooseberryyoke.register.state import FRESH, READY
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import REGISTER_PATH, PeerFailed
 from gooseberryyoke_daemon.replica.joining import FolderOutdated, Joining
@@ -66,6 +66,12 @@
     on_joining : async callable, optional
         Called before the replica votes for the first time after a copy: whoever runs
         it must find the folder again from here on.
+    on_confirming : async callable, optional
+        Takes the identity that is about to ask to be confirmed.
+    on_withdrawn : async callable, optional
+        Takes an identity that has not joined, and never will.
+    withdrawn : callable
+        Gives the identities that other processes have withdrawn.
     path : str
         Under which this replica is served.
     hello_s : float
@@ -94,6 +100,9 @@
         founders=None,
         forget_founders=None,
         on_joining=None,
+        on_confirming=None,
+        on_withdrawn=None,
+        withdrawn=frozenset,
         path=REGISTER_PATH,
         hello_s=_DEFAULT_HELLO_S,
         snapshot_bytes=None,
@@ -111,6 +120,9 @@
         self._founders = founders
         self._forget_founders = forget_founders
         self._on_joining = on_joining
+        self._on_confirming = on_confirming
+        self._on_withdrawn = on_withdrawn
+        self.withdrawn = withdrawn
         self._path = path
         self._snapshot_bytes = snapshot_bytes
         self._telling = 0
@@ -153,6 +165,8 @@
             await nursery.start(self.journal.run)
             if state.incarnation is None:
                 await self._begin(state, replies)
+            elif state.status == FRESH:
+                await self._begin_anew(state, replies)
             self.acceptor = Acceptor(state, is_admitted=False)
             task_status.started()
             await Joining(self, self.journal.position).run()
@@ -170,6 +184,31 @@
         )
         await self.record(state, [Identified(self.seat, own), Founded(self._founders)])
 
+    async def _begin_anew(self, state, replies):
+        """Leave the identity of a life that did not come to vote."""
+        former = state.incarnation
+        await self.identify(state, replies)
+        if self._on_withdrawn is not None:
+            await self._on_withdrawn(former)
+
+    @property
+    def unjoined(self):
+        """The identity of a replica that has never voted, else None."""
+        if self.acceptor is None or self.acceptor.state.status != FRESH:
+            return None
+        return self.acceptor.state.incarnation
+
+    async def before_confirming(self, incarnation):
+        """
+        Tell whoever runs this replica that others are asked to confirm it.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+        """
+        if self._on_confirming is not None:
+            await self._on_confirming(incarnation)
+
     async def before_joining(self):
         """Tell whoever runs this replica that it is about to vote."""
         if self._on_joining is not None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from gooseberryyoke.register.identity import Incarnation
 from gooseberryyoke.seat import (
     Candidate,
     Holder,
@@ -120,6 +121,7 @@
         self._size = size
         self._on_seats = on_seats
         self._record = SeatRecord()
+        self._withdrawn = set()
         self._is_candidate = False
         self._record_lock = trio.Lock()
         self._started_s = 0.0
@@ -139,6 +141,8 @@
         self._record = await self._disk.run(self._file.load)
         if self._seats.merge(self._record.seats):
             self._on_seats()
+        if self._record.seat is None:
+            await self._withdraw(self._record.joining)
         async with trio.open_nursery() as nursery:
             task_status.started()
             if self._record.seat is not None:
@@ -261,6 +265,9 @@
             founders=founders,
             forget_founders=self._renew_nonce,
             on_joining=self._keep_seat,
+            on_confirming=self._keep_joining,
+            on_withdrawn=self._withdraw,
+            withdrawn=self._all_withdrawn,
         )
         self.replica = self._peers.own = replica
         self._seat_scope = trio.CancelScope()
@@ -288,6 +295,27 @@
         """Make sure that this process takes this seat again when it is back."""
         await self._keep_record_surely(seat=seat)
 
+    async def _keep_joining(self, incarnation):
+        """Make sure that this process can withdraw what it asks others to confirm."""
+        await self._keep_record_surely(joining=incarnation)
+
+    async def _withdraw(self, incarnation):
+        """
+        Tell all others that an identity has not joined, and never will.
+
+        Those that confirmed it don't know how many others have. While nobody can tell,
+        the former holder of the seat must not vote again.
+        """
+        if incarnation is None or incarnation != self._record.joining:
+            return
+        log_event("seat-withdrawn", level="warning", generation=incarnation.generation)
+        await self._keep_record_surely(
+            joining=None, withdrawn=(*self._record.withdrawn, incarnation)
+        )
+
+    def _all_withdrawn(self):
+        return self._withdrawn.union(self._record.withdrawn)
+
     async def _keep_record_surely(self, **changes):
         while not await self._keep_record(**changes):
             pass
@@ -300,10 +328,12 @@
         process idle for good, and the next lost holder without a successor.
         """
         self._seat_scope.cancel()
+        replica = self.replica
         while self.replica is not None:
             await trio.sleep(_FIRST_GREET_S)
         # In this order: an empty folder under the old seat would take it back.
         await self._keep_record_surely(seat=None, nonce=self._new_nonce())
+        await self._withdraw(replica.unjoined)
         try:
             await self._disk.run(self._disk.set_aside, "taken-over")
         except OSError as exc:
@@ -329,7 +359,7 @@
             self._on_seats()
         # If this fails it is tried again with the next round; until then the addresses
         # in the older file still lead to the others.
-        await self._keep_record(seat=replica.seat)
+        await self._keep_record(seat=replica.seat, joining=None)
 
     def _look_for_seat(self, nursery):
         if trio.current_time() < self._sit_after_s:
@@ -385,6 +415,7 @@
             "address": self.address,
             "seats": self._seats.to_json(),
             "nonce": self._told_nonce(),
+            "withdrawn": self._told_withdrawn(),
         }
         try:
             reply = await self._client.json(
@@ -428,7 +459,15 @@
         for other in payload.get("controls", ()):
             self._told[str(other)] = trio.current_time()
         self._note_nonce(address, payload.get("nonce"))
-        return {**self.say(), "nonce": self._told_nonce()}
+        self._withdrawn |= {Incarnation(*i) for i in payload.get("withdrawn", ())}
+        return {
+            **self.say(),
+            "nonce": self._told_nonce(),
+            "withdrawn": self._told_withdrawn(),
+        }
+
+    def _told_withdrawn(self):
+        return [identity.as_list() for identity in self._record.withdrawn]
 
     def _note_nonce(self, address, nonce):
         if nonce is None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
@@ -3,6 +3,7 @@
 import orjson
 
 from gooseberryyoke.record import Record
+from gooseberryyoke.register.identity import Incarnation
 from gooseberryyoke.seat import SeatMap
 from gooseberryyoke_daemon.logs import log_event
 
@@ -25,15 +26,29 @@
         See `Candidate`; None for a folder that was never written.
     electors : tuple of str
         The contacts among whom this process votes on the founders; empty if it doesn't.
+    joining : Incarnation or None
+        The identity that has asked to be confirmed, until its replica votes.
+    withdrawn : tuple of Incarnation
+        Identities that asked to be confirmed, have not joined, and never will.
     """
 
-    __slots__ = ("seat", "seats", "nonce", "electors")
-
-    def __init__(self, seat=None, seats=None, nonce=None, electors=()):
+    __slots__ = ("seat", "seats", "nonce", "electors", "joining", "withdrawn")
+
+    def __init__(
+        self,
+        seat=None,
+        seats=None,
+        nonce=None,
+        electors=(),
+        joining=None,
+        withdrawn=(),
+    ):
         self.seat = seat
         self.seats = {} if seats is None else seats
         self.nonce = nonce
         self.electors = tuple(electors)
+        self.joining = joining
+        self.withdrawn = tuple(withdrawn)
 
 
 class SeatFile:
@@ -82,6 +97,8 @@
             "seats": record.seats,
             "nonce": record.nonce,
             "electors": list(record.electors),
+            "joining": None if record.joining is None else record.joining.as_list(),
+            "withdrawn": [identity.as_list() for identity in record.withdrawn],
         }
         self._disk.write_whole(_NAME, [orjson.dumps(content)])
 
@@ -91,9 +108,12 @@
     seats.merge(stored["seats"])
     seat, nonce = stored["seat"], stored.get("nonce")
     electors = [str(address) for address in stored.get("electors", ())]
+    joining = stored.get("joining")
     return SeatRecord(
         None if seat is None else str(seat),
         seats.to_json(),
         None if nonce is None else str(nonce),
         electors,
+        None if joining is None else Incarnation(*joining),
+        [Incarnation(*packed) for packed in stored.get("withdrawn", ())],
     )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
@@ -312,3 +312,35 @@
             await peer.call(Read("k", "n"))
 
     run(main)
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_takeover_that_can_not_end_makes_room_for_the_former_holder(is_restarted):
+    # Guards against two seats that never vote again: a process is held up between its
+    # two confirmations, the third seat's disk is lost, and the former holder is back.
+    async def main(deployment):
+        await deployment.found()
+        await deployment.running[1].store.put(4, b"4")
+        await trio.sleep(1.0)
+        deployment.kill(1)
+        await deployment.start(4)
+        with trio.fail_after(10.0):
+            while not _is_confirmed(deployment.running[2], "1"):
+                await trio.sleep(0.0005)
+        assert not deployment.is_ready(4)
+        if is_restarted:
+            deployment.kill(4)
+        deployment.kill(3, wipe=True)
+        await deployment.start(3)
+        await deployment.start(1)
+        if is_restarted:
+            await deployment.start(4)
+        await deployment.until_ready(1, 2, 3, limit_s=20.0)
+        assert (await deployment.running[3].store.newest()).unwrap().text == b"4"
+
+    run(main)
+
+
+def _is_confirmed(control, seat):
+    """Tell whether a replica has confirmed another holder than the founder."""
+    return len(control.keeper.replica.acceptor.state.joined[seat]) > 1
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
@@ -235,13 +235,14 @@
         if known is not None and known > message.incarnation:
             return Answer(NotReady(self.stamp()))
         reply = Confirmed(self.stamp(), message.incarnation)
-        if self.state.joined.get(message.seat) == message.incarnation:
+        if message.incarnation in self.state.joined.get(message.seat, ()):
             return Answer(reply)
         return Answer(reply, [SeatTaken(message.seat, message.incarnation)])
 
     @_answer.register
     def _(self, message: SeatQuery):
-        return Answer(SeatReport(self.stamp(), dict(self.state.joined)))
+        joined = {seat: list(incs) for seat, incs in self.state.joined.items()}
+        return Answer(SeatReport(self.stamp(), joined))
 
     @_answer.register
     def _(self, message: Hello):
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
@@ -86,6 +86,12 @@
     return {seat: _incarnation(item) for seat, item in packed.items()}
 
 
+def _incarnations(packed):
+    return {
+        seat: [_incarnation(item) for item in items] for seat, items in packed.items()
+    }
+
+
 def _stamp(packed):
     seat, incarnation, roster = packed
     return identity.Stamp(seat, _incarnation(incarnation), _roster(roster))
@@ -119,7 +125,7 @@
     "incarnation": _incarnation,
     "former": _incarnation,
     "founders": _roster,
-    "joined": _roster,
+    "joined": _incarnations,
 }
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
@@ -259,8 +259,8 @@
     ----------
     sender : Stamp
         The replica.
-    joined : dict of str to Incarnation
-        By seat, the highest identity that is known to have confirmed.
+    joined : dict of str to list of Incarnation
+        By seat, the identities that were confirmed, in ascending order.
     """
 
     __slots__ = ("sender", "joined")
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/repair.py
@@ -110,7 +110,7 @@
     WON = "won"
 
 
-def judge_contest(state, size, reports):
+def judge_contest(state, size, reports, withdrawn=frozenset()):
     """
     Judge whether the other identity has joined, or still can.
 
@@ -125,13 +125,21 @@
         Number of seats.
     reports : collection of SeatReport
         Of ready peers, each after it has named the former holder's new identity.
+    withdrawn : collection of Incarnation
+        Identities that have not joined, and never will.
 
     Returns
     -------
     Contest
     """
     own = state.former or state.incarnation
-    confirmed = sum(report.joined.get(state.seat, own) > own for report in reports)
+    confirmed = sum(
+        any(
+            incarnation > own and incarnation not in withdrawn
+            for incarnation in report.joined.get(state.seat, ())
+        )
+        for report in reports
+    )
     if confirmed >= majority(size):
         return Contest.LOST
     unheard = size - 1 - len(reports)
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
@@ -1,5 +1,6 @@
 """A replica's state, built from the changes in its log."""
 
+from bisect import insort
 from functools import singledispatchmethod
 
 from sortedcontainers import SortedDict
@@ -48,8 +49,8 @@
         Identities that began with an empty state together.
     roster : dict of str to Incarnation
         The highest identity known of each seat.
-    joined : dict of str to Incarnation
-        The highest identity of each seat that is known to have joined.
+    joined : dict of str to list of Incarnation
+        The identities of each seat that were confirmed, in ascending order.
     seen : dict
         Position told by each (seat, incarnation).
     floor : int
@@ -180,9 +181,13 @@
 
     def _join(self, seat, incarnation):
         self._name(seat, incarnation)
-        known = self.joined.get(seat)
-        if known is None or incarnation > known:
-            self.joined[seat] = incarnation
+        confirmed = self.joined.setdefault(seat, [])
+        is_latest = not confirmed or incarnation > confirmed[-1]
+        if incarnation not in confirmed:
+            # Earlier ones stay: if the latest is withdrawn, they still show whether
+            # another holder has joined before it.
+            insort(confirmed, incarnation)
+        if is_latest:
             # Positions of a holder that was merely named away are kept: it may
             # come back on the folder that they are about.
             self.seen = {
@@ -206,7 +211,8 @@
         if self.founders:
             changes.append(Founded(dict(self.founders)))
         changes += [SeatNamed(seat, inc) for seat, inc in self.roster.items()]
-        changes += [SeatTaken(seat, inc) for seat, inc in self.joined.items()]
+        for seat, confirmed in self.joined.items():
+            changes += [SeatTaken(seat, inc) for inc in confirmed]
         changes += [PeerSeen(*key, at) for key, at in self.seen.items()]
         changes.append(FloorRaised(self.floor))
         changes += [SlotStored(key, slot) for key, slot in self.slots.items()]
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
@@ -31,7 +31,7 @@
     "incarnation": INCARNATION,
     "founders": {"r1": INCARNATION},
     "former": INCARNATION,
-    "joined": {"r1": INCARNATION},
+    "joined": {"r1": [INCARNATION]},
     "seat": "r1",
     "nonce": "n",
     "prefix": "k",
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -565,7 +565,8 @@
         for page in pages:
             changes += [SeatNamed(*item) for item in page.sender.roster.items()]
         for report in reports.values():
-            changes += [SeatTaken(*item) for item in report.joined.items()]
+            for seat, confirmed in report.joined.items():
+                changes += [SeatTaken(seat, incarnation) for incarnation in confirmed]
         replica.record(changes)
         message = Confirm(replica.seat, replica.state.incarnation)
         others = [seat for seat in self.seats if seat != replica.seat]
