--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -10,13 +10,24 @@
     sleep,
 )
 
+from gooseberryyoke.membership.server_book import ServerBook
 from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke.routing.table_news import TableNews
 from gooseberryyoke.seat import SeatMap
+from gooseberryyoke_daemon.control.link import Listener
+from gooseberryyoke_daemon.control.presence import EntryPresence
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import RegisterClient
 from gooseberryyoke_daemon.seats import SeatPeers
-from gooseberryyoke_daemon.tables import TableStore, TableWatcher
+from gooseberryyoke_daemon.tables import (
+    ParentTables,
+    TableRelay,
+    TableStore,
+    TableWatcher,
+    ToldTables,
+)
 from gooseberryyoke_daemon.wire import (
+    Address,
     HttpClient,
     HttpServer,
     Limits,
@@ -40,8 +51,14 @@
 cost two writes to each replica in a third of it."""
 _GROUP_LOOK_S = 0.2
 _STAND_IN_LOOK_S = 5.0
-"""Of ranks that are no candidates for their group's lease: with all candidates gone,
-one of them drives within 7.5 s, and the group keeps its map until then."""
+"""Of the first ranks that are no candidates for their group's lease: with all
+candidates gone, one of them drives within 7.5 s, and the group keeps its map until
+then."""
+_STAND_IN_SHARE = 0.25
+"""Of that time, by which each next rank looks less often. All together look hardly more
+often in a large group than in a small one."""
+_RANK_WAIT_S = 1.5
+"""For which a rank's call for news is held."""
 _METRICS_AFTER_S = 8.0
 """From the start, when the requests that waited for it have been served."""
 _CONTROL_STOP_S = 0.3
@@ -117,7 +134,9 @@
     def __init__(self, settings, decode, names, network, rng, retry_digits=0):
         # Here and not above: each role imports what it needs, since a start is paid
         # from the time for recovery.
-        from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke.membership.following import FollowMajority
+        from gooseberryyoke_daemon.control.feed import Feed
+        from gooseberryyoke_daemon.control.link import Links
         from gooseberryyoke_daemon.control.presence import Roster
         from gooseberryyoke_daemon.gateway import GatewayNode
         from gooseberryyoke_daemon.gateway.servers import Servers
@@ -126,7 +145,9 @@
         super().__init__(settings.node, network, rng)
         self._callers = settings.callers
         self.servers = Servers(settings.node.data_centre, rng)
-        self.watcher = TableWatcher(self.store, decode, self._use_table, rng=rng)
+        self.news = TableNews()
+        told = ToldTables(self.news, self.store)
+        self.watcher = TableWatcher(told, decode, self._use_table, rng=rng)
         server_client = HttpClient(
             network,
             Limits(pool_connections=0),
@@ -137,16 +158,18 @@
         self.node = GatewayNode(
             self.watcher, self.servers, server_client, names, rng, budget, retry_digits
         )
-        self._links = ControlLinks(
+        self.book = ServerBook()
+        self._links = Links(
             self.client,
             lambda: self.contacts,
             self.seats,
-            self.servers.take,
-            self.seats_changed,
-            lambda: self._presence().as_dict(),
-            self._hear_entries,
+            _GatewayListener(self),
+            rng,
+            FollowMajority(settings.node.name),
         )
-        self._roster = Roster(self._presence)
+        self.roster = Roster(self.presence)
+        self.feed = Feed(self.book, self.news, self._view, rng)
+        self._relay = TableRelay(self.store)
         self._sharing = LoadSharing(
             settings.node.name,
             settings.node.internal,
@@ -171,17 +194,22 @@
         -------
         list of str
         """
-        return self._roster.addresses(data_centre, current_time())
-
-    def _hear_entries(self, control, entries):
-        self._roster.hear(control, entries, current_time())
+        return self.roster.addresses(data_centre, current_time())
 
     def _use_table(self, table):
         self.node.use_limits(table)
 
-    def _presence(self):
-        from gooseberryyoke_daemon.control.presence import EntryPresence
-
+    def _view(self):
+        there = self.roster.there(current_time()).values()
+        return {
+            "entries": sorted(entry.as_list() for entry in there),
+            "heard": [],
+            "seats": self.seats.to_json(),
+            "controls": self._links.controls(),
+        }
+
+    def presence(self):
+        """Give this gateway's `EntryPresence`."""
         return EntryPresence(
             self.settings.name,
             str(self._callers),
@@ -194,7 +222,9 @@
         async with open_nursery() as nursery:
             listeners = await self.network.listen(self._callers)
             await nursery.start(self.node.run, listeners)
+            await self.serve_internal(nursery, [self.feed.handle, self._relay.handle])
             await nursery.start(self.registers.run)
+            await nursery.start(self.feed.run)
             await nursery.start(self._links.run)
             await nursery.start(self.watcher.run)
             await nursery.start(self._sharing.run)
@@ -214,6 +244,34 @@
             nursery.start_soon(self.node.stop, times)
             await sleep(0)
             self._links.report_now()
+            self.feed.leave()
+
+
+class _GatewayListener(Listener):
+    """Hands over what control processes tell to the parts of a gateway."""
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+
+    def servers(self, entries):
+        self._gateway.servers.take(entries)
+        now = current_time()
+        changes = [self._gateway.book.take(entry, now) for entry in entries]
+        if any(changes):
+            self._gateway.feed.wake()
+
+    def seats(self):
+        self._gateway.seats_changed()
+
+    def entries(self, address, entries, heard):
+        self._gateway.roster.hear(address, entries, current_time())
+
+    def table(self, packed, told_s):
+        if self._gateway.news.take_json(packed, told_s):
+            self._gateway.watcher.look_now()
+
+    def presence(self):
+        return self._gateway.presence().as_dict()
 
 
 class Control(_Node):
@@ -234,7 +292,7 @@
     """
 
     def __init__(self, settings, network, rng, open_disk):
-        from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke_daemon.control.link import Links
         from gooseberryyoke_daemon.control.load import ControlLoad
         from gooseberryyoke_daemon.control.node import ControlNode
         from gooseberryyoke_daemon.seats.keeper import SeatFolders, SeatKeeper
@@ -258,15 +316,15 @@
             self.seats_changed,
         )
         self.node = ControlNode(self.keeper, self.store, rng)
-        self._load = ControlLoad()
-        # Servers report to one control process. Who follows only one other must
-        # hear of all of them, and one that has just started hears of them at once.
-        self._links = ControlLinks(
+        self.load = ControlLoad()
+        # Servers report to one control process, and entries to some. Who follows one
+        # of the others must hear of all, and one that has just started does so at once.
+        self._links = Links(
             self.client,
             self.keeper.live_controls,
             self.seats,
-            self.node.pass_on,
-            self.seats_changed,
+            _ControlListener(self),
+            rng,
             own_address=self.keeper.address,
         )
 
@@ -274,9 +332,9 @@
         """Serve until cancelled."""
         async with open_nursery() as nursery:
             await nursery.start(self.registers.run)
-            handlers = [self._load.count, self._serve_replica, self.node.handle]
-            await self.serve_internal(nursery, handlers)
-            await nursery.start(self._load.run)
+            handlers = [self.load.count, self._serve_replica, self.node.handle]
+            self.load.watch("internal", await self.serve_internal(nursery, handlers))
+            await nursery.start(self.load.run)
             await nursery.start(self.keeper.run)
             await nursery.start(self.node.run)
             await nursery.start(self._links.run)
@@ -296,6 +354,25 @@
         await sleep(_CONTROL_STOP_S)
 
 
+class _ControlListener(Listener):
+    """Hands over what other control processes tell."""
+
+    def __init__(self, control):
+        self._control = control
+
+    def servers(self, entries):
+        self._control.node.pass_on(entries)
+
+    def seats(self):
+        self._control.seats_changed()
+
+    def entries(self, address, entries, heard):
+        self._control.node.hear_entries(address, entries, heard)
+
+    def table(self, packed, told_s):
+        self._control.node.hear_table(packed, told_s)
+
+
 class Rank(_Node):
     """
     A process beside the engine of one rank; one of each group drives its maps.
@@ -312,7 +389,8 @@
     """
 
     def __init__(self, settings, decode, engine_at, network, rng):
-        from gooseberryyoke_daemon.control.link import ControlLinks
+        from gooseberryyoke.membership.following import FollowParent
+        from gooseberryyoke_daemon.control.link import Links
         from gooseberryyoke_daemon.groups.members import GroupMembers
         from gooseberryyoke_daemon.groups.rank_orders import RankOrders
 
@@ -320,22 +398,24 @@
         self._engine_at = engine_at
         engine = self._engine = engine_at(settings.engine)
         self._orders = RankOrders(engine)
-        self.watcher = TableWatcher(
-            self.store,
-            decode,
-            check_s=_TABLE_CHECK_S,
-            search_s=_TABLE_SEARCH_S,
-            rng=rng,
-        )
         port = settings.node.internal.port
         self.members = GroupMembers(str(settings.engine), port)
-        self._links = ControlLinks(
+        self.plan = FollowParent(settings.node.name, settings.node.data_centre)
+        self._links = Links(
             self.client,
             lambda: self.contacts,
             self.seats,
-            self.members.take,
-            self.seats_changed,
-            most=1,
+            _RankListener(self),
+            rng,
+            self.plan,
+            wait_s=_RANK_WAIT_S,
+        )
+        self.watcher = TableWatcher(
+            ParentTables(self.client, lambda: self._links.parent),
+            decode,
+            check_s=_TABLE_CHECK_S,
+            search_s=_TABLE_SEARCH_S,
+            rng=rng,
         )
         self._lease = None
         self._driver = None
@@ -368,7 +448,7 @@
             self.rng,
             _LEASE_S,
             lineage,
-            look_s=None if is_candidate(place.rank, place.size) else _STAND_IN_LOOK_S,
+            look_s=_look_s(place, is_candidate(place.rank, place.size)),
         )
         driver = self._driver = ArmedDriver(
             group,
@@ -392,6 +472,21 @@
             nursery.start_soon(driver.run)
             nursery.start_soon(watch.run)
 
+    def hear_entries(self, entries):
+        """
+        Take over which gateways there are, to follow one of them.
+
+        Parameters
+        ----------
+        entries : list of list
+            The fields of `EntryPresence`.
+        """
+        port = self.settings.internal.port
+        self.plan.entries = [
+            presence.replace(address=str(Address(presence.host, port)))
+            for presence in (EntryPresence(*entry) for entry in entries)
+        ]
+
     def _fence(self):
         return max(self._orders.fence, self._lease.seen_number)
 
@@ -413,3 +508,25 @@
         if self._lease is not None:
             with move_on_after(_CONTROL_STOP_S):
                 await self._lease.release()
+
+
+class _RankListener(Listener):
+    """Hands over what the followed process tells to the parts of a rank."""
+
+    def __init__(self, rank):
+        self._rank = rank
+
+    def servers(self, entries):
+        self._rank.members.take(entries)
+
+    def seats(self):
+        self._rank.seats_changed()
+
+    def entries(self, address, entries, heard):
+        self._rank.hear_entries(entries)
+
+
+def _look_s(place, is_candidate):
+    if is_candidate:
+        return None
+    return _STAND_IN_LOOK_S * (1 + _STAND_IN_SHARE * place.rank)
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/feed.py
@@ -0,0 +1,144 @@
+"""The calls by which other processes follow what this one knows."""
+
+import orjson
+import trio
+from xxhash import xxh3_64_hexdigest
+
+from gooseberryyoke_daemon.control.presence import EntryPresence, Presences
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.paths import FOLLOW_PATH
+from gooseberryyoke_daemon.wire import bad_message_response, json_response
+
+__all__ = ["Feed"]
+
+_MOST_WAIT_S = 2.0
+_GATHER_S = 0.2
+"""Between two rounds of telling the followers. Without it, each of a hundred servers
+that announce themselves at a start, or after the loss of everything, is told to each of
+tens of followers by a call of its own, and nothing else is answered meanwhile. A
+server's leaving must be in force in two seconds at all entries."""
+
+
+class Feed:
+    """
+    Tells followers of servers, entries, seats and the newest table.
+
+    A follower's call is held while there is nothing new, and answered with what has
+    changed since its last one.
+
+    Parameters
+    ----------
+    servers : ServerBook
+    news : TableNews
+    view : callable
+        Gives a dict with ``entries``, ``heard``, ``seats`` and ``controls``.
+    rng : random.Random
+
+    Attributes
+    ----------
+    entries : Presences
+        Of the followers that say who they are.
+    """
+
+    def __init__(self, servers, news, view, rng):
+        self.entries = Presences()
+        self._servers = servers
+        self._news = news
+        self._view = view
+        self._life = f"{rng.getrandbits(64):016x}"
+        self._changed = trio.Event()
+        self._told = trio.Event()
+        self._is_leaving = False
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Tell followers what changes, in rounds, until cancelled."""
+        task_status.started()
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            self._end_round()
+            await trio.sleep(_GATHER_S)
+
+    def _end_round(self):
+        self._told.set()
+        self._told = trio.Event()
+
+    def wake(self):
+        """Tell followers of a change with the next round."""
+        self._changed.set()
+
+    def leave(self):
+        """Answer every held call at once: the process ends."""
+        self._is_leaving = True
+        self._end_round()
+
+    async def handle(self, request):
+        """
+        Serve followers' calls.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Response or None
+            None if the path is another's.
+        """
+        if request.path != FOLLOW_PATH:
+            return None
+        try:
+            return json_response(200, await self._follow(orjson.loads(request.body)))
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            detail = f"{request.path}: {type(exc).__name__} {exc}"[:300]
+            return bad_message_response(detail)
+
+    async def _follow(self, payload):
+        since = payload["since"] if payload["life"] == self._life else 0
+        name = self._hear(payload.get("entry"))
+        asked_s = trio.current_time()
+        try:
+            if payload["wait_ms"] and not self._is_behind(payload, since):
+                with trio.move_on_after(min(payload["wait_ms"] / 1000, _MOST_WAIT_S)):
+                    await self._told.wait()
+        except trio.Cancelled:
+            if name is not None:
+                self.entries.broke_off(name, trio.current_time())
+            raise
+        changed = self._servers.since(since)
+        view = self._view()
+        digest = _digest(view)
+        return {
+            "life": self._life,
+            "count": self._servers.count,
+            "servers": [entry.to_json() for entry in changed],
+            "digest": digest,
+            "table": self._news.to_json(trio.current_time()),
+            "held_ms": int(1000 * (trio.current_time() - asked_s)),
+            # Sent only when it has changed: it names every entry.
+            "view": None if payload["view"] == digest else view,
+        }
+
+    def _hear(self, packed):
+        if packed is None:
+            return None
+        presence = EntryPresence(**packed)
+        if self.entries.hear(presence, trio.current_time()):
+            log_event("entry-reported", entry=presence.name, is_open=presence.is_open)
+            self.wake()
+        return presence.name
+
+    def _is_behind(self, payload, since):
+        """Tell whether a follower has missed what an earlier round told."""
+        if self._is_leaving:
+            return True
+        if self._changed.is_set():
+            # The round that is due tells it.
+            return False
+        if self._servers.count > since or payload["table"] != self._news.version:
+            return True
+        return payload["view"] != _digest(self._view())
+
+
+def _digest(view):
+    return xxh3_64_hexdigest(orjson.dumps(view, option=orjson.OPT_SORT_KEYS))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -1,31 +1,60 @@
-"""The calls by which a process follows every control process."""
-
-from random import Random
+"""The calls by which a process follows others."""
 
 import trio
 
+from gooseberryyoke.membership.following import FollowAll
 from gooseberryyoke.membership.server_book import ServerEntry
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
 from gooseberryyoke_daemon.wire import Address, WireError
 
-__all__ = ["ControlLinks"]
+__all__ = ["Links", "Listener"]
 
-_CALL_TIMEOUT_S = 1.6
-"""Twice the time for which a control process holds a call."""
+_WAIT_S = 0.8
+"""How long a call is held when there is nothing new. Entries count as gone after three
+such rounds."""
+_ANSWER_S = 0.8
+"""For the answer, beside the time for which a call is held."""
 _RETRY_S = 0.25
 _SLOWEST_RETRY_S = 2.0
 """After calls that ran into their time limit one after the other."""
 _FORGET_S = 20.0
-"""A control process that never answers is asked for so long, unless it is a seed."""
+"""One that never answers is asked for so long, unless it is a contact."""
 
 
-class ControlLinks:
-    """
-    Follows all control processes that are known, each by a call of its own.
+class Listener:
+    """Takes what the followed processes tell; each method does nothing by default."""
+
+    def servers(self, entries):
+        """Take the `ServerEntry` that have changed."""
+
+    def seats(self):
+        """Take notice that the seats have changed."""
+
+    def entries(self, address, entries, heard):
+        """
+        Take the entries that a process knows, also if they have not changed.
 
-    Each is followed: a server's farewell is acknowledged by one of them alone, and
-    must be known here soon after.
+        Parameters
+        ----------
+        address : str
+            Of the process that tells.
+        entries : list of list
+            The fields of `EntryPresence`.
+        heard : list of str
+            Names of those that report to it, and not to another that told it.
+        """
+
+    def table(self, packed, told_s):
+        """Take what a process knew of the newest table at a time; see `TableNews`."""
+
+    def presence(self):
+        """Give the fields of this process's `EntryPresence`, or None."""
+
+
+class Links:
+    """
+    Follows some of the processes that are known, each by a call of its own.
 
     Parameters
     ----------
@@ -33,19 +62,14 @@
     contacts : callable
         Gives the addresses of the settings.
     seats : SeatMap
-    on_servers : callable
-        Takes the list of `ServerEntry` that have changed.
-    on_seats : callable
-        Called when the seats have changed.
-    presence : callable, optional
-        Gives the fields of this process's `EntryPresence`.
-    on_entries : callable, optional
-        Takes the address of a control process, and the entries that it knows.
-    most : int, optional
-        Control processes that are followed at a time. One is enough for a process
-        to which a server's leaving may come a little late.
+    listener : Listener
+    rng : random.Random
+    plan : FollowAll, FollowMajority or FollowParent, optional
+        Chooses whom to follow.
     own_address : str, optional
-        Of this process, if it is a control process itself.
+        Of this process, if others may follow it.
+    wait_s : float
+        For which a call may be held.
     """
 
     def __init__(
@@ -53,107 +77,121 @@
         client,
         contacts,
         seats,
-        on_servers,
-        on_seats,
-        presence=lambda: None,
-        on_entries=lambda address, entries: None,
-        most=None,
+        listener,
+        rng,
+        plan=None,
         own_address=None,
+        wait_s=_WAIT_S,
     ):
         self._own_address = own_address
-        self._on_entries = on_entries
-        self._most = most
         self._client = client
         self._contacts = contacts
         self._seats = seats
-        self._on_servers = on_servers
-        self._on_seats = on_seats
-        self._presence = presence
-        self._rng = Random()
-        self._followed = set()
-        self._heard = set()
+        self._listener = listener
+        self._rng = rng
+        self._plan = plan or FollowAll()
+        self._wait_s = wait_s
+        self._call_timeout_s = wait_s + _ANSWER_S
+        self._followed = {}
+        self._heard = {}
         self._wakers = {}
         self._entries = {}
 
+    @property
+    def parent(self):
+        """Address of a followed process that answers, or None."""
+        reached = [a for a, is_reached in self._followed.items() if is_reached]
+        return min(reached, default=None)
+
+    def controls(self):
+        """
+        List the control processes that were told of.
+
+        Returns
+        -------
+        list of str
+        """
+        return sorted(set().union(*self._heard.values()))
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Follow until cancelled."""
         async with trio.open_nursery() as nursery:
             task_status.started()
             while True:
-                known = set(self._contacts()) | self._heard
-                known |= self._seats.addresses()
-                known.discard(self._own_address)
-                for address in self._missing(known):
-                    self._followed.add(address)
+                for address in sorted(self._wanted() - self._followed.keys()):
+                    self._followed[address] = False
                     nursery.start_soon(self._follow, address)
                 await trio.sleep(_RETRY_S)
 
-    def _missing(self, known):
-        missing = sorted(known - self._followed)
-        if self._most is None:
-            return missing
-        # Spread over the control processes, and another one after each failure.
-        self._rng.shuffle(missing)
-        return missing[: max(0, self._most - len(self._followed))]
+    def _wanted(self):
+        known = set(self._contacts()).union(*self._heard.values())
+        known |= self._seats.addresses()
+        known.discard(self._own_address)
+        return self._plan.wanted(known, trio.current_time())
 
     def report_now(self):
-        """Tell all control processes of a changed presence without waiting."""
+        """Tell all followed processes of a changed presence without waiting."""
         for waker in self._wakers.values():
             waker.cancel()
 
     async def _follow(self, address):
-        life, count, digest, is_reached = "", 0, "", None
+        life, count, digest, version = "", 0, "", None
         pause_s = _RETRY_S
         answered_s = trio.current_time()
         target = Address.parse(address)
-        while True:
+        was_reached = None
+        while address in self._wanted():
             payload = {
                 "life": life,
                 "since": count,
                 "view": digest,
-                "may_wait": bool(is_reached),
+                "table": version,
+                "wait_ms": round(1000 * self._wait_s) if life else 0,
             }
             called_s = trio.current_time()
             reply = await self._call(target, payload)
-            if reply is not None:
+            is_reached = reply is not None
+            if is_reached != was_reached:
+                event = "control-reached" if is_reached else "control-lost"
+                log_event(event, level="warning", address=address)
+            self._followed[address] = was_reached = is_reached
+            if is_reached:
+                self._plan.answered(address)
                 pause_s = _RETRY_S
                 life, count = reply["life"], reply["count"]
-                digest = reply["digest"]
+                digest, version = reply["digest"], _version_of(reply["table"])
                 answered_s = trio.current_time()
-            elif self._gives_up(answered_s):
+                continue
+            self._plan.failed(address, trio.current_time())
+            if trio.current_time() - answered_s > _FORGET_S:
                 break
-            if (reply is not None) != is_reached:
-                is_reached = reply is not None
-                event = "control-reached" if is_reached else "control-lost"
-                log_event(event, level="warning", address=address)
-            if reply is None:
-                if trio.current_time() - called_s >= _CALL_TIMEOUT_S:
-                    pause_s = min(2 * pause_s, _SLOWEST_RETRY_S)
-                await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
-        self._heard.discard(address)
-        self._followed.discard(address)
+            if trio.current_time() - called_s >= self._call_timeout_s:
+                pause_s = min(2 * pause_s, _SLOWEST_RETRY_S)
+            await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+        self._forget(address)
+
+    def _forget(self, address):
+        del self._followed[address]
+        self._heard.pop(address, None)
         self._entries.pop(address, None)
-
-    def _gives_up(self, answered_s):
-        # With others to follow, one that doesn't answer is left at once.
-        limit_s = _FORGET_S if self._most is None else 0.0
-        return trio.current_time() - answered_s > limit_s
+        self._wakers.pop(address, None)
 
     async def _call(self, target, payload):
-        presence = self._presence()
+        presence = self._listener.presence()
         if presence is not None:
             payload["entry"] = presence
-        with trio.CancelScope() as self._wakers[target]:
+        asked_s = trio.current_time()
+        with trio.CancelScope() as self._wakers[str(target)]:
             try:
                 reply = await self._client.json(
                     "POST",
                     target,
                     FOLLOW_PATH,
                     payload,
-                    timeout_s=_CALL_TIMEOUT_S,
+                    timeout_s=self._call_timeout_s,
                     repeatable=True,
                 )
-                self._take(str(target), reply.payload)
+                self._take(str(target), reply.payload, asked_s)
                 return reply.payload
             except WireError:
                 return None
@@ -161,20 +199,27 @@
                 log_event("reply-unreadable", level="warning", why=str(exc)[:200])
                 return None
         # Woken to report at once; the next call says what has changed.
-        return await self._call(target, {**payload, "may_wait": False})
+        return await self._call(target, {**payload, "wait_ms": 0})
 
-    def _take(self, address, payload):
+    def _take(self, address, payload, asked_s):
         servers = [ServerEntry.from_json(packed) for packed in payload["servers"]]
         if payload["view"] is not None:
             self._take_view(address, payload["view"])
+        # Not later than the answer was made, by this process's clock.
+        told_s = asked_s + payload["held_ms"] / 1000
+        self._listener.table(payload["table"], told_s)
         # Also an unchanged list is news: it is as fresh as this reply.
-        self._on_entries(address, self._entries.get(address, []))
+        self._listener.entries(address, *self._entries.get(address, ([], [])))
         if servers:
-            self._on_servers(servers)
+            self._listener.servers(servers)
 
     def _take_view(self, address, view):
-        self._heard.update(view["controls"])
+        self._heard[address] = set(view["controls"])
         if self._seats.merge(view["seats"]):
             log_event("seats-changed", seats=self._seats.to_json())
-            self._on_seats()
-        self._entries[address] = view["entries"]
+            self._listener.seats()
+        self._entries[address] = (view["entries"], view["heard"])
+
+
+def _version_of(packed):
+    return None if packed is None else packed[0]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -1,25 +1,20 @@
-"""What a control process knows, and the calls by which entries follow it."""
+"""What a control process knows, and the calls by which others follow it."""
 
 import orjson
 import trio
-from xxhash import xxh3_64_hexdigest
+from returns.result import Success
 
 from gooseberryyoke.membership.server_book import ServerBook, ServerState
-from gooseberryyoke_daemon.control.presence import EntryPresence, Presences
+from gooseberryyoke.routing.table_news import TableNews
+from gooseberryyoke_daemon.control.feed import Feed
+from gooseberryyoke_daemon.control.presence import Roster
 from gooseberryyoke_daemon.logs import log_event
-from gooseberryyoke_daemon.paths import FOLLOW_PATH, SEATS_PATH
+from gooseberryyoke_daemon.paths import SEATS_PATH
+from gooseberryyoke_daemon.tables import PutOutcome, TableProbe, index_of_text
 from gooseberryyoke_daemon.wire import bad_message_response, json_response
 
 __all__ = ["ControlNode"]
 
-_WAIT_S = 0.8
-"""How long a follower's call is held when there is nothing new. Entries count as
-gone after three such rounds."""
-_GATHER_S = 0.2
-"""Between two rounds of telling the followers. Without it, each of a hundred servers
-that announce themselves at a start, or after the loss of everything, is told to each of
-tens of followers by a call of its own, and nothing else is answered meanwhile. A
-server's leaving must be in force in two seconds at all entries."""
 _FORGET_S = 86_400.0
 """A server not heard of for so long is dropped. Entries use a silent server as long
 as it answers them, and one that reports to another control process is heard of here
@@ -29,7 +24,7 @@
 
 class ControlNode:
     """
-    Servers and entries as one control process hears of them.
+    Servers, entries and the newest table, as one control process hears of them.
 
     Parameters
     ----------
@@ -41,43 +36,33 @@
     ----------
     servers : ServerBook
     entries : Presences
+    news : TableNews
     """
 
     def __init__(self, keeper, store, rng):
         self.servers = ServerBook()
-        self.entries = Presences()
+        self.news = TableNews()
         self.store = store
         self._keeper = keeper
-        self._life = f"{rng.getrandbits(64):016x}"
-        self._changed = trio.Event()
-        self._told = trio.Event()
-        self._is_leaving = False
+        self._feed = Feed(self.servers, self.news, self._view, rng)
+        self.entries = self._feed.entries
+        self._roster = Roster()
+        self._probe = TableProbe(store, self.news, self._feed.wake, rng)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Tell followers what changes, and forget old servers, until cancelled."""
         async with trio.open_nursery() as nursery:
+            await nursery.start(self._feed.run)
+            nursery.start_soon(self._probe.run)
             task_status.started()
-            nursery.start_soon(self._tell_in_rounds)
             while True:
                 await trio.sleep(_LOOK_S)
                 for id in self.servers.forget_old(trio.current_time(), _FORGET_S):
                     log_event("server-forgotten", server=id, silent_s=_FORGET_S)
 
-    async def _tell_in_rounds(self):
-        while True:
-            await self._changed.wait()
-            self._changed = trio.Event()
-            self._end_round()
-            await trio.sleep(_GATHER_S)
-
-    def _end_round(self):
-        self._told.set()
-        self._told = trio.Event()
-
     def leave(self):
         """Answer every held call at once: the process ends."""
-        self._is_leaving = True
-        self._end_round()
+        self._feed.leave()
 
     def announce(self, entry):
         """
@@ -100,7 +85,7 @@
                 born_ms=entry.born_ms,
                 sequence=entry.sequence,
             )
-        self._wake()
+        self._feed.wake()
 
     def pass_on(self, entries):
         """
@@ -113,7 +98,38 @@
         now = trio.current_time()
         changes = [self.servers.take(entry, now) for entry in entries]
         if any(changes):
-            self._wake()
+            self._feed.wake()
+
+    def hear_entries(self, control, entries, heard):
+        """
+        Take over which entries report to another control process.
+
+        Parameters
+        ----------
+        control : str
+            Its address.
+        entries : list of list
+            All that it knows of.
+        heard : list of str
+            Names of those that report to it. Passed on from the others' word, an entry
+            that has gone would stay there for ever.
+        """
+        direct = [entry for entry in entries if entry[0] in heard]
+        self._roster.hear(control, direct, trio.current_time())
+
+    def hear_table(self, packed, told_s):
+        """
+        Take over what another control process knows of the newest table.
+
+        Parameters
+        ----------
+        packed : list or None
+            See `TableNews.to_json`.
+        told_s : float
+            When it said so.
+        """
+        if self.news.take_json(packed, told_s):
+            self._feed.wake()
 
     def end(self, id, born_ms):
         """
@@ -126,10 +142,27 @@
         """
         if self.servers.end(id, born_ms, trio.current_time()):
             log_event("server-left", server=id, born_ms=born_ms)
-            self._wake()
+            self._feed.wake()
 
-    def _wake(self):
-        self._changed.set()
+    async def put_table(self, version, text):
+        """
+        Store a table, and tell followers of it; see `TableStore.put`.
+
+        Parameters
+        ----------
+        version : int
+        text : bytes
+
+        Returns
+        -------
+        Result of PutOutcome, RegisterError
+        """
+        start_s = trio.current_time()
+        stored = await self.store.put(version, text)
+        is_stored = stored == Success(PutOutcome.STORED)
+        if is_stored and self.news.take(index_of_text(version, text), start_s):
+            self._feed.wake()
+        return stored
 
     async def handle(self, request):
         """
@@ -144,73 +177,26 @@
         Response or None
             None if the path is another's.
         """
-        serve = {FOLLOW_PATH: self._follow, SEATS_PATH: self._greet}.get(request.path)
-        if serve is None:
-            return None
+        if request.path != SEATS_PATH:
+            return await self._feed.handle(request)
         try:
-            return json_response(200, await serve(orjson.loads(request.body)))
+            payload = orjson.loads(request.body)
+            return json_response(200, self._keeper.hear(payload["address"], payload))
         except (AttributeError, KeyError, TypeError, ValueError) as exc:
             detail = f"{request.path}: {type(exc).__name__} {exc}"[:300]
             return bad_message_response(detail)
 
-    async def _greet(self, payload):
-        return self._keeper.hear(payload["address"], payload)
-
-    async def _follow(self, payload):
-        since = payload["since"] if payload["life"] == self._life else 0
-        presence = payload.get("entry")
-        name = None
-        if presence is not None:
-            presence = EntryPresence(**presence)
-            name = presence.name
-            if self.entries.hear(presence, trio.current_time()):
-                log_event("entry-reported", entry=name, is_open=presence.is_open)
-                self._wake()
-        try:
-            if payload["may_wait"] and not self._is_behind(payload, since):
-                await self._wait_for_round()
-        except trio.Cancelled:
-            if name is not None:
-                self.entries.broke_off(name, trio.current_time())
-            raise
-        changed = self.servers.since(since)
-        view = self._view()
-        digest = _digest(view)
+    def _view(self):
+        now = trio.current_time()
+        heard = {entry.name: entry for entry in self.entries.there(now)}
+        entries = {**self._roster.there(now), **heard}
         return {
-            "life": self._life,
-            "count": self.servers.count,
-            "servers": [entry.to_json() for entry in changed],
-            "digest": digest,
-            # Sent only when it has changed: with 14 entries, 64 ranks and six control
-            # processes, the calls that carried it both ways were 40 of 65 MB between
-            # the system's processes in 35 s.
-            "view": None if payload["view"] == digest else view,
+            "entries": sorted(entry.as_list() for entry in entries.values()),
+            "heard": sorted(heard),
+            **self._keeper.say(),
         }
 
-    def _view(self):
-        there = self.entries.there(trio.current_time())
-        entries = sorted(entry.as_list() for entry in there)
-        return {"entries": entries, **self._keeper.say()}
-
-    def _is_behind(self, payload, since):
-        """Tell whether a follower has missed what an earlier round told."""
-        if self._is_leaving:
-            return True
-        if self._changed.is_set():
-            # The round that is due tells it.
-            return False
-        is_known = self.servers.count <= since
-        return not is_known or payload["view"] != _digest(self._view())
-
-    async def _wait_for_round(self):
-        with trio.move_on_after(_WAIT_S):
-            await self._told.wait()
-
     def count_ready(self):
         """Count the servers that take work."""
         entries = self.servers.entries.values()
         return sum(entry.state is ServerState.READY for entry in entries)
-
-
-def _digest(view):
-    return xxh3_64_hexdigest(orjson.dumps(view, option=orjson.OPT_SORT_KEYS))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
@@ -1,6 +1,7 @@
 """The entries that report to control processes, and which to name to callers."""
 
 from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.wire import Address
 
 __all__ = ["EntryPresence", "Presences", "Roster"]
 
@@ -32,6 +33,11 @@
         self.data_centre = data_centre
         self.is_open = is_open
 
+    @property
+    def host(self):
+        """Of the address."""
+        return Address.parse(self.address).host
+
 
 class Presences:
     """Entries by name, with the time until which each counts as there."""
@@ -95,53 +101,52 @@
 
 class Roster:
     """
-    The entries, as one of them hears of the others.
+    The entries, as other processes tell of them.
 
-    Each control process tells which entries report to it. An entry is there if one of
-    them says so. While none can be heard, the last word holds: callers that are named
-    an entry that has gone try the next one, callers that are named none can't come.
+    An entry is there if one of them says so. While none can be heard, the last word
+    holds: callers that are named an entry that has gone try the next one, callers that
+    are named none can't come.
 
     Parameters
     ----------
-    own : callable
-        Gives this entry's own `EntryPresence`.
+    own : callable, optional
+        Gives this process's own `EntryPresence`, if it is an entry.
     """
 
     __slots__ = ("_own", "_told")
 
-    def __init__(self, own):
+    def __init__(self, own=lambda: None):
         self._own = own
         self._told = {}
 
-    def hear(self, control, entries, now):
+    def hear(self, teller, entries, now):
         """
-        Take over what a control process tells.
+        Take over what a process tells.
 
         Parameters
         ----------
-        control : str
+        teller : str
             Its address.
         entries : list of list
             The fields of an `EntryPresence`, in order.
         now : float
             In seconds.
         """
-        self._told[control] = (now, [EntryPresence(*entry) for entry in entries])
+        self._told[teller] = (now, [EntryPresence(*entry) for entry in entries])
 
-    def addresses(self, data_centre, now):
+    def there(self, now):
         """
-        List where callers may connect.
+        List the entries that count as there.
 
         Parameters
         ----------
-        data_centre : str
-            Of the caller; its entries come first.
         now : float
             In seconds.
 
         Returns
         -------
-        list of str
+        dict of str to EntryPresence
+            By name.
         """
         latest_s = max((at_s for at_s, _ in self._told.values()), default=now)
         entries = {}
@@ -149,7 +154,25 @@
             if at_s >= latest_s - _SILENT_S:
                 entries.update({entry.name: entry for entry in told})
         own = self._own()
-        entries[own.name] = own
-        there = [entry for entry in entries.values() if entry.is_open]
+        if own is not None:
+            entries[own.name] = own
+        return entries
+
+    def addresses(self, data_centre, now):
+        """
+        List where callers may connect.
+
+        Parameters
+        ----------
+        data_centre : str
+            Of the caller; its entries come first.
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        there = [entry for entry in self.there(now).values() if entry.is_open]
         there.sort(key=lambda entry: (entry.data_centre != data_centre, entry.name))
         return [entry.address for entry in there]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -5,10 +5,12 @@
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
 from gooseberryyoke.seat import Candidate, SeatMap, choose_founders
-from gooseberryyoke_daemon.control.link import ControlLinks
+from gooseberryyoke_daemon.control.link import Links, Listener
 from gooseberryyoke_daemon.control.node import ControlNode
 from gooseberryyoke_daemon.control.presence import EntryPresence
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
+from gooseberryyoke_daemon.registers import RegisterClient
+from gooseberryyoke_daemon.tables import TableStore
 from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer, Limits
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
@@ -29,7 +31,8 @@
     """A control process, with the length of each of its replies to followers."""
 
     def __init__(self, network):
-        self.node = ControlNode(Keeper(), None, Random(1))
+        store = TableStore(RegisterClient({}, Random(1)))
+        self.node = ControlNode(Keeper(), store, Random(1))
         self.reply_bytes = []
         self._host = network.host(CONTROL.host)
 
@@ -56,13 +59,15 @@
     async def body():
         network = MemoryNetwork(latency_s=0.001)
         followed, told, servers = Followed(network), [], []
-        links = ControlLinks(
+        listener = Listener()
+        listener.servers = servers.extend
+        listener.entries = lambda control, entries, heard: told.append(entries)
+        links = Links(
             HttpClient(network.host("10.7.0.1")),
             lambda: [str(CONTROL)],
             SeatMap(),
-            servers.extend,
-            lambda: None,
-            on_entries=lambda control, entries: told.append(entries),
+            listener,
+            Random(1),
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(followed.run)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_load.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_load.py
@@ -5,7 +5,7 @@
 from gooseberryyoke_daemon.control.load import ControlLoad
 from gooseberryyoke_daemon.paths import FOLLOW_PATH, SEATS_PATH
 from gooseberryyoke_daemon.registers import REGISTER_PATH
-from gooseberryyoke_daemon.wire import Request
+from gooseberryyoke_daemon.wire import HttpServer, Request
 
 
 def test_calls_are_told_by_kind_and_span(monkeypatch):
@@ -18,6 +18,10 @@
 
     async def main():
         load = ControlLoad()
+        server = HttpServer(load.count)
+        server.open_connections = 3
+        server.counts["accepted"] = 7
+        load.watch("internal", server)
         async with trio.open_nursery() as nursery:
             await nursery.start(load.run)
             for path in (FOLLOW_PATH, SEATS_PATH, REGISTER_PATH, REGISTER_PATH, "/x"):
@@ -35,4 +39,6 @@
         "greetings": 1,
         "registers": 2,
         "others": 1,
+        "open": {"internal": 3},
+        "accepted": {"internal": 7},
     }
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/paths.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/paths.py
@@ -7,6 +7,7 @@
     "FOUNDING_PATH",
     "SEATS_PATH",
     "SERVER_PATH",
+    "TABLE_PATH",
 ]
 
 ATTEMPTS_PATH = "/internal/attempts"
@@ -15,3 +16,4 @@
 FOUNDING_PATH = "/internal/founding"
 SEATS_PATH = "/internal/seats"
 SERVER_PATH = "/internal/announcements/server"
+TABLE_PATH = "/internal/table"
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seats.py
@@ -1,9 +1,11 @@
+from random import Random
+
 import pytest
 import trio
 
 from gooseberryyoke.register.messages import Read
 from gooseberryyoke.seat import SeatMap
-from gooseberryyoke_daemon.control import ControlLinks
+from gooseberryyoke_daemon.control import Links, Listener
 from gooseberryyoke_daemon.registers import PeerFailed
 from gooseberryyoke_daemon.testing.control_deployment import (
     CONTACTS as SEEDS,
@@ -138,12 +140,14 @@
     async def main(deployment):
         await deployment.found()
         seats, changes = SeatMap(), []
-        links = ControlLinks(
+        listener = Listener()
+        listener.seats = lambda: changes.append(1)
+        links = Links(
             HttpClient(deployment.network.host("10.7.0.1")),
             lambda: SEEDS,
             seats,
-            lambda servers: None,
-            lambda: changes.append(1),
+            listener,
+            Random(seed),
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(links.run)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_start_under_load.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_start_under_load.py
@@ -6,6 +6,7 @@
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
 from gooseberryyoke_daemon.testing.control_deployment import run_controls
+from gooseberryyoke_daemon.testing.routed import sample_table
 
 CONTROLS = 6
 ENTRIES = 14
@@ -16,14 +17,8 @@
 READY_S = 10.0
 
 
-class Table:
-    def __init__(self, text):
-        self.version = int(text)
-        self.routes = ()
-
-
 def decode(text):
-    return Success(Table(text))
+    return Success(sample_table(int(text)))
 
 
 async def _announce_servers(deployment):
@@ -53,14 +48,16 @@
     async def main(deployment):
         for number in range(1, CONTROLS + 1):
             await deployment.start(number, founding=True, seats=5)
-        followers = [deployment.follow(number, decode) for number in range(ENTRIES)]
+        gateways = [
+            deployment.start_gateway(number, decode) for number in range(ENTRIES)
+        ]
         for number in range(RANKS):
             deployment.start_rank(number, decode)
         with trio.fail_after(READY_S):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_announce_servers, deployment)
                 nursery.start_soon(_put_until_stored, deployment)
-            while any(follower.watcher.table is None for follower in followers):
+            while any(gateway.watcher.table is None for gateway in gateways):
                 await trio.sleep(0.1)
 
     run_controls(main, seed, call_s=CALL_S)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/store.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/store.py
@@ -10,9 +10,17 @@
 
 from gooseberryyoke.record import Record
 from gooseberryyoke.register import Conflict, Unavailable
+from gooseberryyoke.routing.table_news import TableIndex
 from gooseberryyoke_daemon.logs import log_event
 
-__all__ = ["PutOutcome", "StoredTable", "TableStore"]
+__all__ = [
+    "PutOutcome",
+    "StoredTable",
+    "TableStore",
+    "index_of_text",
+    "pack_text",
+    "unpack_text",
+]
 
 _INDEX_KEY = "table/index"
 _TRIES = 8
@@ -30,13 +38,16 @@
     version : int
     text : bytes
         As it was sent.
+    digest : str
+        Of the text.
     """
 
-    __slots__ = ("version", "text")
+    __slots__ = ("version", "text", "digest")
 
-    def __init__(self, version, text):
+    def __init__(self, version, text, digest):
         self.version = version
         self.text = text
+        self.digest = digest
 
 
 class PutOutcome(Enum):
@@ -46,38 +57,29 @@
     NOT_NEWER = "not-newer"
 
 
-class _Index(Record):
-    """What the index register holds: a version and the digest of its text."""
-
-    __slots__ = ("version", "digest")
-
-    def __init__(self, version, digest):
-        self.version = version
-        self.digest = digest
-
-    @property
-    def text_key(self):
-        return f"table/text/{self.version}-{self.digest}"
-
-
 class TableStore:
     """
     The newest table, over registers.
 
-    The index register is small, since every entry reads it from a majority a few
-    times a second. Texts stand in registers of their own, named by their digest,
+    The index register is small, since control processes read it from a majority all
+    the time. Texts stand in registers of their own, named by their digest,
     so that any single replica can give one.
 
     Parameters
     ----------
     registers : RegisterClient
+
+    Attributes
+    ----------
+    held : StoredTable or None
+        That was read last.
     """
 
-    __slots__ = ("_registers", "_held")
+    __slots__ = ("held", "_registers")
 
     def __init__(self, registers):
+        self.held = None
         self._registers = registers
-        self._held = None
 
     async def put(self, version, text):
         """
@@ -92,7 +94,7 @@
         -------
         Result of PutOutcome, RegisterError
         """
-        index = _Index(version, xxh3_128_hexdigest(text))
+        index = index_of_text(version, text)
         is_text_stored = False
         for _ in range(_TRIES):
             found = await self._registers.read(_INDEX_KEY, _OPERATION_S)
@@ -121,8 +123,9 @@
         return Failure(Unavailable(False, detail))
 
     async def _put_text(self, index, text):
-        packed = b64encode(compress(text, _COMPRESSION)).decode("ascii")
-        written = await self._registers.write(index.text_key, 0, packed, _OPERATION_S)
+        written = await self._registers.write(
+            _text_key(index), 0, pack_text(text), _OPERATION_S
+        )
         if isinstance(written, Failure) and isinstance(written.failure(), Conflict):
             # The same text was stored before, by a call whose answer was lost.
             return Success(None)
@@ -138,39 +141,117 @@
             None if none was ever stored.
         """
         for _ in range(_TRIES):
-            found = await self._registers.read(_INDEX_KEY, _OPERATION_S)
-            if isinstance(found, Failure):
+            found = await self.index()
+            if isinstance(found, Failure) or found.unwrap() is None:
                 return found
-            index = _index_of(found.unwrap())
-            if index is None:
-                return Success(None)
-            if self._held is not None and self._held.version == index.version:
-                return Success(self._held)
+            loaded = await self.load(found.unwrap())
+            if isinstance(loaded, Success):
+                break
+        return loaded
+
+    async def index(self):
+        """
+        Read which table is the newest, confirmed by a majority.
+
+        Returns
+        -------
+        Result of (TableIndex or None), RegisterError
+            None if none was ever stored.
+        """
+        found = await self._registers.read(_INDEX_KEY, _OPERATION_S)
+        return found.map(_index_of)
+
+    async def load(self, index):
+        """
+        Read a table whose index is known.
+
+        Parameters
+        ----------
+        index : TableIndex
+
+        Returns
+        -------
+        Result of StoredTable, Unavailable
+        """
+        if self.held is None or self.held.digest != index.digest:
             text = await self._text(index)
-            if text is not None:
-                self._held = StoredTable(index.version, text)
-                return Success(self._held)
-        return Failure(Unavailable(False, f"text of version {index.version} not found"))
+            if text is None:
+                detail = f"text of version {index.version} not found"
+                return Failure(Unavailable(False, detail))
+            self.held = StoredTable(index.version, text, index.digest)
+        return Success(self.held)
 
     async def _text(self, index):
         def unpack(value):
-            return _unpack(value, index.digest)
+            return None if value is None else unpack_text(value, index.digest)
 
+        key = _text_key(index)
         deadline_s = current_time() + _OPERATION_S
-        found = await self._registers.fetch(index.text_key, unpack, _OPERATION_S / 3)
+        found = await self._registers.fetch(key, unpack, _OPERATION_S / 3)
         if isinstance(found, Success):
             return found.unwrap()
         left_s = max(0.1, deadline_s - current_time())
-        read = await self._registers.read(index.text_key, left_s)
+        read = await self._registers.read(key, left_s)
         return None if isinstance(read, Failure) else unpack(read.unwrap().value)
 
 
+def index_of_text(version, text):
+    """
+    Name a table.
+
+    Parameters
+    ----------
+    version : int
+    text : bytes
+
+    Returns
+    -------
+    TableIndex
+    """
+    return TableIndex(version, xxh3_128_hexdigest(text))
+
+
 def _index_of(versioned):
-    return None if versioned.value is None else _Index(*versioned.value)
+    return None if versioned.value is None else TableIndex(*versioned.value)
 
 
-def _unpack(value, digest):
-    if value is None:
-        return None
+def _text_key(index):
+    return f"table/text/{index.version}-{index.digest}"
+
+
+def pack_text(text):
+    """
+    Make a table's text short, for registers and messages.
+
+    Parameters
+    ----------
+    text : bytes
+
+    Returns
+    -------
+    str
+    """
+    return b64encode(compress(text, _COMPRESSION)).decode("ascii")
+
+
+def unpack_text(value, digest):
+    """
+    Undo `pack_text`.
+
+    Parameters
+    ----------
+    value : str
+    digest : str
+
+    Returns
+    -------
+    bytes or None
+        None if the text has another digest.
+
+    Raises
+    ------
+    TypeError, ValueError, zlib.error
+        If it was not packed so.
+    """
     text = decompress(b64decode(value))
     return text if xxh3_128_hexdigest(text) == digest else None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/watcher.py
@@ -3,17 +3,17 @@
 from random import Random
 
 from returns.result import Failure
-from trio import TASK_STATUS_IGNORED, current_time, sleep
+from trio import TASK_STATUS_IGNORED, Event, current_time, move_on_after
 
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["TableWatcher"]
 
 _CHECK_S = 0.4
-"""Between two reads of the newest version. A fifth of the two seconds within which
-operators expect a table in force, so that a read may fail twice."""
+"""Between two looks for a newer table. A fifth of the two seconds within which
+operators expect a table in force, so that a look may fail twice."""
 _SLOWEST_CHECK_S = 0.8
-"""After reads that failed one after the other. Processes that all go on at the usual
+"""After looks that failed one after the other. Processes that all go on at the usual
 pace keep replicas that come back after the loss of everything from doing so."""
 
 
@@ -23,7 +23,8 @@
 
     Parameters
     ----------
-    store : TableStore
+    store : TableStore, ToldTables or ParentTables
+        Whose `newest` gives the table to go by.
     decode : callable
         Takes a text and gives a Result of RouteTable, list of str.
     on_install : callable, optional
@@ -66,6 +67,7 @@
         self._on_install = on_install
         self.first_after_s = None
         self._is_reachable = True
+        self._news = Event()
         self._began_s = 0.0
 
     async def run(self, task_status=TASK_STATUS_IGNORED):
@@ -74,7 +76,13 @@
         self._began_s = current_time()
         while True:
             await self.check()
-            await sleep(self._pause_s())
+            with move_on_after(self._pause_s()):
+                await self._news.wait()
+            self._news = Event()
+
+    def look_now(self):
+        """Look for a newer table without waiting: there is one."""
+        self._news.set()
 
     def _pause_s(self):
         pause_s = self._search_s if self.table is None else self._check_s
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -7,22 +7,19 @@
 import trio.testing
 from trio._core import _run as scheduler
 
-from gooseberryyoke.seat import SeatMap
-from gooseberryyoke_daemon.compose_routed import Control, Rank
-from gooseberryyoke_daemon.control import ControlLinks
-from gooseberryyoke_daemon.registers import RegisterClient
+from gooseberryyoke_daemon.compose_routed import Control, Gateway, Rank
+from gooseberryyoke_daemon.gateway import HeaderNames
 from gooseberryyoke_daemon.routed_settings import (
     ControlSettings,
+    GatewaySettings,
     NodeSettings,
     RankSettings,
 )
-from gooseberryyoke_daemon.seats import SeatPeers
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
-from gooseberryyoke_daemon.tables import TableStore, TableWatcher
-from gooseberryyoke_daemon.wire import Address, HttpClient
+from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["CONTACTS", "PORT", "ControlDeployment", "TableFollower", "run_controls"]
+__all__ = ["CONTACTS", "PORT", "ControlDeployment", "run_controls"]
 
 PORT = 70
 CONTACTS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
@@ -32,12 +29,14 @@
     """A control process that takes its time for each call, one after the other."""
 
     call_s = 0.0
+    calls = 0
 
     async def serve_internal(self, nursery, handlers):
         self._processor = trio.Lock()
-        await super().serve_internal(nursery, [self._take_turn, *handlers])
+        return await super().serve_internal(nursery, [self._take_turn, *handlers])
 
     async def _take_turn(self, request):
+        self.calls += 1
         if not self.call_s:
             return
         # A call costs its time also after its caller has given it up.
@@ -46,40 +45,6 @@
                 await trio.sleep(self.call_s)
 
 
-class TableFollower:
-    """
-    A process that follows control processes and waits for the table, as entries do.
-
-    Parameters
-    ----------
-    host : MemoryHost
-    rng : random.Random
-    decode : callable
-        See `TableWatcher`.
-    """
-
-    def __init__(self, host, rng, decode):
-        client = HttpClient(host)
-        seat_map = SeatMap()
-        peers = SeatPeers(seat_map, client)
-        self._registers = RegisterClient(peers.by_seat(), rng)
-        self.watcher = TableWatcher(TableStore(self._registers), decode, rng=rng)
-        self._links = ControlLinks(
-            client,
-            lambda: CONTACTS,
-            seat_map,
-            lambda servers: None,
-            lambda: self._registers.set_peers(peers.by_seat()),
-        )
-
-    async def run(self):
-        """Follow until cancelled."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._registers.run)
-            await nursery.start(self._links.run)
-            await nursery.start(self.watcher.run)
-
-
 class ControlDeployment:
     """
     Control processes by number; the first three are the contacts of all.
@@ -134,13 +99,19 @@
         with self._scopes[number]:
             await control.run(task_status=task_status)
 
-    def follow(self, number, decode):
-        """Start a `TableFollower`."""
-        rng = Random(self.rng.getrandbits(64))
-        host = self.network.host(f"10.7.0.{number}")
-        follower = TableFollower(host, rng, decode)
-        self._nursery.start_soon(follower.run)
-        return follower
+    def start_gateway(self, number, decode):
+        """Start a gateway."""
+        host = f"10.7.0.{number}"
+        node = NodeSettings(f"g{number}", "a", Address(host, PORT), CONTACTS)
+        gateway = Gateway(
+            GatewaySettings(node, Address(host, 80), 0.2, 10),
+            decode,
+            HeaderNames(),
+            self.network.host(host),
+            Random(self.rng.getrandbits(64)),
+        )
+        self._nursery.start_soon(gateway.run)
+        return gateway
 
     def start_rank(self, number, decode):
         """Start a process beside an engine that belongs to no group."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory.py
@@ -1,16 +1,18 @@
 """A network in memory, for tests under trio's mock clock."""
 
 import errno
+from contextlib import suppress
 
 import trio
 
 from gooseberryyoke_daemon.wire.address import Address
 from gooseberryyoke_daemon.wire.memory_stream import MemoryStream, Pipe
 
-__all__ = ["MemoryHost", "MemoryListener", "MemoryNetwork"]
+__all__ = ["MemoryEndpoint", "MemoryHost", "MemoryListener", "MemoryNetwork"]
 
 _FIRST_EPHEMERAL_PORT = 49152
 _DEFAULT_HOST = "outside"
+_DATAGRAMS_HELD = 256
 
 
 def _host_of(end):
@@ -28,6 +30,11 @@
     ----------
     latency_s : float
         One way, between any two hosts, unless `set_latency` says otherwise.
+
+    Attributes
+    ----------
+    endpoints : dict of Address to MemoryEndpoint
+        That receive datagrams.
     """
 
     def __init__(self, latency_s=0.0):
@@ -38,6 +45,7 @@
         self._pipes = []
         self._changed = trio.lowlevel.ParkingLot()
         self._next_port = _FIRST_EPHEMERAL_PORT
+        self.endpoints = {}
 
     def host(self, name):
         """
@@ -247,6 +255,54 @@
         """See `TcpNetwork.listen`."""
         return await self.network.listen(address)
 
+    def datagrams(self, address):
+        """See `TcpNetwork.datagrams`."""
+        return MemoryEndpoint(self.network, address)
+
+
+class MemoryEndpoint:
+    """
+    Sends and receives datagrams on a network in memory; see `UdpEndpoint`.
+
+    Parameters
+    ----------
+    network : MemoryNetwork
+    address : Address
+        Of this end.
+    """
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self._waiting, self._arrived = trio.open_memory_channel(_DATAGRAMS_HELD)
+
+    async def open(self):
+        """Bind the address."""
+        self._network.endpoints[self._address] = self
+        await trio.lowlevel.checkpoint()
+
+    async def send(self, address, data):
+        """Send a datagram; it is lost if nobody receives, or on a link that is cut."""
+        await trio.lowlevel.checkpoint()
+        end = self._network.endpoints.get(address)
+        if end is not None and not self._network.is_cut(
+            self._address.host, address.host
+        ):
+            end.deliver(data)
+
+    def deliver(self, data):
+        """Hold a datagram for `receive`; lost if too many wait."""
+        with suppress(trio.WouldBlock):
+            self._waiting.send_nowait(data)
+
+    async def receive(self):
+        """Wait for a datagram."""
+        return await self._arrived.receive()
+
+    def close(self):
+        """Give the address up."""
+        self._network.endpoints.pop(self._address, None)
+
 
 class MemoryListener(trio.abc.Listener):
     """
