Tell ranks where gateways are reached by other processes

Cause: ranks took the gateway's internal port for their own. Each role has a port of its own. Tests gave all roles one port, so that they could not see it. And a rank whose gateways all refuse tried the next one for ever, since the first was due again when the last had failed.

Change: an entry's presence names its internal address. One that does not answer is left out for twice as long after each further failure, up to a minute, so that a contact has its turn. The test deployment gives each role a port, and the large start asserts that each rank follows a gateway and has its table.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -27,7 +27,6 @@
     ToldTables,
 )
 from gooseberryyoke_daemon.wire import (
-    Address,
     HttpClient,
     HttpServer,
     Limits,
@@ -215,6 +214,7 @@
         return EntryPresence(
             self.settings.name,
             str(self._callers),
+            str(self.settings.internal),
             self.settings.data_centre,
             self.node.is_open,
         )
@@ -413,7 +413,7 @@
             wait_s=_RANK_WAIT_S,
         )
         self.watcher = TableWatcher(
-            ParentTables(self.client, lambda: self._links.parent),
+            ParentTables(self.client, lambda: self.parent),
             decode,
             check_s=_TABLE_CHECK_S,
             search_s=_TABLE_SEARCH_S,
@@ -483,11 +483,7 @@
         entries : list of list
             The fields of `EntryPresence`.
         """
-        port = self.settings.internal.port
-        self.plan.entries = [
-            presence.replace(address=str(Address(presence.host, port)))
-            for presence in (EntryPresence(*entry) for entry in entries)
-        ]
+        self.plan.entries = [EntryPresence(*entry) for entry in entries]
 
     def _fence(self):
         return max(self._orders.fence, self._lease.seen_number)
@@ -498,6 +494,11 @@
             return None
         return table.services[service].pace
 
+    @property
+    def parent(self):
+        """Address of the process that tells this one of servers and tables, or None."""
+        return self._links.parent
+
     def expert_count(self):
         """Count the experts of a layer; 0 while the table doesn't tell."""
         pace = self._pace()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/presence.py
@@ -1,7 +1,6 @@
 """The entries that report to control processes, and which to name to callers."""
 
 from gooseberryyoke.record import Record
-from gooseberryyoke_daemon.wire import Address
 
 __all__ = ["EntryPresence", "Presences", "Roster"]
 
@@ -20,24 +19,22 @@
     name : str
     address : str
         Where callers connect.
+    internal : str
+        Where the deployment's other processes connect.
     data_centre : str
     is_open : bool
         Takes new callers.
     """
 
-    __slots__ = ("name", "address", "data_centre", "is_open")
+    __slots__ = ("name", "address", "internal", "data_centre", "is_open")
 
-    def __init__(self, name, address, data_centre, is_open):
+    def __init__(self, name, address, internal, data_centre, is_open):
         self.name = name
         self.address = address
+        self.internal = internal
         self.data_centre = data_centre
         self.is_open = is_open
 
-    @property
-    def host(self):
-        """Of the address."""
-        return Address.parse(self.address).host
-
 
 class Presences:
     """Entries by name, with the time until which each counts as there."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -51,7 +51,9 @@
         return response
 
     def report(self, name, is_open=True):
-        presence = EntryPresence(name, f"10.7.0.{name}:80", "a", is_open)
+        presence = EntryPresence(
+            name, f"10.7.0.{name}:80", f"10.7.0.{name}:71", "a", is_open
+        )
         self.node.entries.hear(presence, trio.current_time())
 
 
@@ -109,7 +111,7 @@
         _keep_reporting(followed, ["1"])
         _keep_reporting(followed, ["2"], is_open=False)
         await trio.sleep(1.0)
-        assert [entry[3] for entry in told[-1]] == [True, False]
+        assert [entry[-1] for entry in told[-1]] == [True, False]
 
     run(main)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_load_of_large_deployments.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_load_of_large_deployments.py
@@ -74,6 +74,14 @@
         table = gateway.watcher.table
         return table is not None and table.version == version
 
+    def are_ranks_at_gateways(self):
+        """Tell whether each rank follows a gateway and has got its table."""
+        gateways = {str(gateway.settings.internal) for gateway in self.gateways}
+        return all(
+            rank.parent in gateways and rank.watcher.table is not None
+            for rank in self.ranks
+        )
+
     def calls(self):
         return [control.calls for control in self.controls.running.values()]
 
@@ -103,6 +111,7 @@
             calls = [b - a for a, b in zip(before, deployment.calls(), strict=True)]
             assert max(calls) * CALL_S < MOST_BUSY * CALM_S
             assert all(controls.is_ready(number) for number in controls.running)
+            assert deployment.are_ranks_at_gateways()
             nursery.cancel_scope.cancel()
 
     run_controls(main, seed, call_s=CALL_S)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_presence.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_presence.py
@@ -1,8 +1,8 @@
 from gooseberryyoke_daemon.control import EntryPresence, Presences, Roster
 
-NEAR = EntryPresence("e-1", "10.1.0.1:80", "a", True)
-FAR = EntryPresence("e-2", "10.2.0.1:80", "b", True)
-OWN = EntryPresence("e-9", "10.9.0.1:80", "a", True)
+NEAR = EntryPresence("e-1", "10.1.0.1:80", "10.1.0.1:71", "a", True)
+FAR = EntryPresence("e-2", "10.2.0.1:80", "10.2.0.1:71", "b", True)
+OWN = EntryPresence("e-9", "10.9.0.1:80", "10.9.0.1:71", "a", True)
 
 
 def roster(own=OWN):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -22,6 +22,9 @@
 __all__ = ["CONTACTS", "PORT", "ControlDeployment", "run_controls"]
 
 PORT = 70
+GATEWAY_PORT = 71
+RANK_PORT = 72
+"""Each role has a port of its own, as two processes may share a machine."""
 CONTACTS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
 
 
@@ -102,7 +105,7 @@
     def start_gateway(self, number, decode):
         """Start a gateway."""
         host = f"10.7.0.{number}"
-        node = NodeSettings(f"g{number}", "a", Address(host, PORT), CONTACTS)
+        node = NodeSettings(f"g{number}", "a", Address(host, GATEWAY_PORT), CONTACTS)
         gateway = Gateway(
             GatewaySettings(node, Address(host, 80), 0.2, 10),
             decode,
@@ -116,7 +119,7 @@
     def start_rank(self, number, decode):
         """Start a process beside an engine that belongs to no group."""
         host = f"10.8.0.{number}"
-        address = Address(host, PORT)
+        address = Address(host, RANK_PORT)
         node = NodeSettings(f"r{number}", "a", address, CONTACTS)
         rank = Rank(
             RankSettings(node, Address(host, 80)),
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/following.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/following.py
@@ -6,7 +6,8 @@
 
 _AVOID_S = 3.0
 """For which one that did not answer is left out while there are others. About as long
-as a process takes to start again."""
+as a process takes to start again; twice as long after each further failure."""
+_LONGEST_AVOID_S = 60.0
 
 
 class FollowAll:
@@ -60,7 +61,7 @@
 
     def __init__(self, name):
         self._name = name
-        self._until_s = {}
+        self._avoided = {}
         self._has_answer = False
 
     def answered(self, address):
@@ -72,7 +73,7 @@
         address : str
         """
         self._has_answer = True
-        self._until_s.pop(address, None)
+        self._avoided.pop(address, None)
 
     def failed(self, address, now):
         """
@@ -84,10 +85,13 @@
         now : float
             In seconds.
         """
-        self._until_s[address] = now + _AVOID_S
+        _, before_s = self._avoided.get(address, (now, _AVOID_S / 2))
+        avoid_s = min(2 * before_s, _LONGEST_AVOID_S)
+        self._avoided[address] = (now + avoid_s, avoid_s)
 
     def _is_avoided(self, address, now):
-        return self._until_s.get(address, now) > now
+        until_s, _ = self._avoided.get(address, (now, 0.0))
+        return until_s > now
 
     def _weight(self, address):
         return xxh3_64_intdigest(f"{self._name} {address}".encode())
@@ -133,7 +137,7 @@
     Attributes
     ----------
     entries : list of EntryPresence
-        With their internal addresses.
+        That are there.
     """
 
     def __init__(self, name, data_centre):
@@ -156,13 +160,11 @@
         -------
         set of str
         """
-        there = [
-            entry for entry in self.entries if not self._is_avoided(entry.address, now)
-        ]
+        there = [e for e in self.entries if not self._is_avoided(e.internal, now)]
         if there:
-            return {min(there, key=self._preference).address}
+            return {min(there, key=self._preference).internal}
         return set(self._ranked(known, now)[:1])
 
     def _preference(self, entry):
         is_far = entry.data_centre != self._data_centre
-        return is_far, not entry.is_open, self._weight(entry.address)
+        return is_far, not entry.is_open, self._weight(entry.internal)
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_following.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_following.py
@@ -8,10 +8,10 @@
 
 
 class Entry(Record):
-    __slots__ = ("address", "data_centre", "is_open")
+    __slots__ = ("internal", "data_centre", "is_open")
 
-    def __init__(self, address, data_centre="a", is_open=True):
-        self.address = address
+    def __init__(self, internal, data_centre="a", is_open=True):
+        self.internal = internal
         self.data_centre = data_centre
         self.is_open = is_open
 
@@ -74,7 +74,7 @@
         (parent,) = plan.wanted(CONTROLS, 0.0)
         counts[parent] += 1
     assert set(counts) == {
-        entry.address for entry in there if entry.data_centre == "a"
+        entry.internal for entry in there if entry.data_centre == "a"
     } - {"10.7.0.99:70"}
     assert max(counts.values()) < 2 * min(counts.values())
 
@@ -86,7 +86,7 @@
         plan.entries = there
         before = plan.wanted(CONTROLS, 0.0)
         plan.entries = there[1:]
-        assert plan.wanted(CONTROLS, 0.0) == before or before == {there[0].address}
+        assert plan.wanted(CONTROLS, 0.0) == before or before == {there[0].internal}
 
 
 def test_a_rank_asks_a_contact_only_while_no_gateway_answers():
@@ -98,6 +98,23 @@
     assert plan.wanted(CONTROLS[:3], 0.0) != first
     plan.entries = entries(2)
     for _ in range(2):
-        assert plan.wanted(CONTROLS[:3], 0.0) <= {e.address for e in plan.entries}
+        assert plan.wanted(CONTROLS[:3], 0.0) <= {e.internal for e in plan.entries}
         plan.failed(min(plan.wanted(CONTROLS[:3], 0.0)), 0.0)
     assert plan.wanted(CONTROLS[:3], 0.0) <= set(CONTROLS[:3])
+
+
+def test_a_rank_that_reaches_no_gateway_ends_up_at_a_contact():
+    # Guards against a rank that tries one gateway after the other for ever, and hears
+    # of nothing: all refuse, or are cut off from it.
+    plan = FollowParent("r1", "a")
+    plan.entries = entries(39)
+    now, at_contact_s = 0.0, 0.0
+    while now < 300.0:
+        (parent,) = plan.wanted(CONTROLS[:3], now)
+        if parent in CONTROLS:
+            plan.answered(parent)
+            at_contact_s += 0.25 * (now > 100.0)
+        else:
+            plan.failed(parent, now)
+        now += 0.25
+    assert at_contact_s > 0.75 * 200.0
