Let stand-ins of a group's lease ask seldom while no majority answers

Cause: who can't read a lease tries again within a third of its term, also those that look only every 5 s and later.

Change: the pause after a failed read is drawn from the usual pause between two looks.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
@@ -115,7 +115,9 @@
         key = lease_key(self._name)
         found = await self._registers.read(key, renewal_s)
         if isinstance(found, Failure):
-            return self._rng.uniform(0, renewal_s)
+            # One that stands in asks seldom also while no majority answers: after the
+            # loss of everything, hundreds would keep replicas from coming back.
+            return self._rng.uniform(0, self._look_s)
         self.seen_number = lease_from_value(found.unwrap().value).number
         decision = self._view.decide(found.unwrap(), self._now())
         if isinstance(decision, Wait):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
@@ -1,8 +1,12 @@
+from random import Random
+
 import pytest
 import trio
 import trio.testing
+from returns.result import Failure
 
 from gooseberryyoke.lease import FencingGate
+from gooseberryyoke.register import Unavailable
 from gooseberryyoke_daemon.leases import LeaseKeeper
 from gooseberryyoke_daemon.replica.memory import MemoryReplicas
 
@@ -168,3 +172,27 @@
         assert other.number is None
 
     run(main)
+
+
+def test_one_that_stands_in_asks_seldom_while_no_majority_answers():
+    # Guards against replicas that can't come back after the loss of everything: every
+    # process beside a rank asks them for its group's lease all the time.
+    class Nobody:
+        def __init__(self):
+            self.reads = 0
+
+        async def read(self, key, timeout_s):
+            self.reads += 1
+            await trio.sleep(timeout_s)
+            return Failure(Unavailable(False, "no majority"))
+
+    async def main():
+        nobody = Nobody()
+        keeper = LeaseKeeper(
+            nobody, "group", "r", trio.current_time, Random(1), 2.5, look_s=20.0
+        )
+        with trio.move_on_after(400.0):
+            await keeper.run()
+        assert 20 <= nobody.reads <= 60
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
