Send gateways' counts between data centres once instead of to each gateway

Cause: each gateway sent its counts to up to 32 others every 0.1 s.

Ruled out: telling less often (gateways send to the same free place meanwhile); servers' reports alone (they lag by 0.2 s and tell nothing of what is on its way).

Change: counts go straight to gateways of the same data centre; two of each data centre pass them on, by two ways, in datagrams that are never cut. Receivers are reached at their internal addresses.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -171,10 +171,8 @@
         self.feed = Feed(self.book, self.news, self._view, rng)
         self._relay = TableRelay(self.store)
         self._sharing = LoadSharing(
-            name,
-            settings.node.internal,
-            lambda: self.addresses(settings.node.data_centre),
-            lambda: self.roster.there(current_time()).keys() - {name},
+            self.presence,
+            lambda: self.roster.there(current_time()),
             self.servers,
             network.datagrams(settings.node.internal),
         )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -1,8 +1,12 @@
 """Gateways tell each other how many requests they have at each server."""
 
+from enum import IntEnum
+
 import orjson
 import trio
 
+from gooseberryyoke.membership.relays import far_receivers
+from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import Address
 
@@ -14,37 +18,83 @@
 _TELL_ALL_S = 1.0
 _MOST_LIMITS = 100
 """In one datagram."""
+_DATAGRAM_BYTES = 1200
+"""Longer ones would be sent in parts, and be lost with any of them."""
 _MOST_PEERS = 32
-"""Datagrams grow with the square of the gateways; beyond this many each tells only
-some, and the servers' own reports have to do for the rest."""
+"""Beyond this many gateways of a data centre each tells only some, and the servers' own
+reports have to do for the rest."""
+
+
+class _Hop(IntEnum):
+    """How far a datagram has come; within a data centre each gateway tells each."""
+
+    OWN = 0
+    BETWEEN = 1
+    PASSED_ON = 2
+
+
+class _News(Record):
+    """
+    What one gateway tells.
+
+    Parameters
+    ----------
+    gateway : str
+    counts : dict of str to int
+        Its requests by server.
+    is_all : bool
+        Servers that are not named have none.
+    limits : dict of str to list
+        See `Servers.told_limits`.
+    """
+
+    __slots__ = ("gateway", "counts", "is_all", "limits")
+
+    def __init__(self, gateway, counts, is_all, limits):
+        self.gateway = gateway
+        self.counts = counts
+        self.is_all = is_all
+        self.limits = limits
+
+    @classmethod
+    def from_json(cls, packed):
+        """Undo `as_list`; raises ValueError or TypeError if it has another form."""
+        gateway, counts, is_all, limits = packed
+        return cls(str(gateway), dict(counts), bool(is_all), dict(limits))
+
+    def followed_by(self, later):
+        """Give what this and a later piece of news tell together."""
+        counts = later.counts if later.is_all else {**self.counts, **later.counts}
+        is_all = self.is_all or later.is_all
+        return _News(self.gateway, counts, is_all, {**self.limits, **later.limits})
 
 
 class LoadSharing:
     """
     Sends own counts to the other gateways and takes theirs.
 
+    News goes straight to the gateways of the same data centre. Two of each data centre
+    gather it and pass it on to two of each other one, which tell their neighbours: sent
+    by each gateway to each, it would be most of what crosses between data centres.
+
     Parameters
     ----------
-    name : str
-        Of this gateway.
-    own : Address
-        Where datagrams are received; the others use the same port.
-    peers : callable
-        Gives the callers' addresses of all gateways.
-    names : callable
-        Gives the names of the other gateways.
+    presence : callable
+        Gives this gateway's own `EntryPresence`.
+    there : callable
+        Gives the gateways that are there by name, this one included.
     servers : Servers
     endpoint : UdpEndpoint
+        At the internal address of this gateway.
     """
 
-    def __init__(self, name, own, peers, names, servers, endpoint):
-        self._name = name
-        self._own = own
-        self._peers = peers
-        self._names = names
+    def __init__(self, presence, there, servers, endpoint):
+        self._presence = presence
+        self._there = there
         self._servers = servers
         self._endpoint = endpoint
         self._told = {}
+        self._gathered = {}
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Tell and listen until cancelled."""
@@ -61,27 +111,26 @@
         told_all_s = float("-inf")
         while True:
             await trio.sleep(_TELL_S)
-            hosts = self._other_hosts()
-            self._servers.expect_peers(len(hosts))
-            counts = self._servers.own_counts()
             is_all = trio.current_time() - told_all_s >= _TELL_ALL_S
             if is_all:
                 told_all_s = trio.current_time()
-                news = counts
-            else:
-                news = self._changed(counts)
-            self._told = counts
-            if news or is_all:
-                await self._send(hosts, [self._name, news, is_all])
-            if is_all:
-                await self._tell_limits(hosts)
+                self._servers.use_gateways(self._there().keys())
+            self._servers.expect_peers(len(self._others()))
+            for news in self._own_news(is_all):
+                self._gather(news)
+                await self._send(_Hop.OWN, self._near(), [news])
+            await self._pass_far()
 
-    async def _tell_limits(self, hosts):
-        self._servers.use_gateways([self._name, *self._names()])
-        limits = list(self._servers.told_limits().items())
+    def _own_news(self, is_all):
+        counts = self._servers.own_counts()
+        changed = counts if is_all else self._changed(counts)
+        self._told = counts
+        name = self._presence().name
+        if changed or is_all:
+            yield _News(name, changed, is_all, {})
+        limits = list(self._servers.told_limits().items()) if is_all else []
         for first in range(0, len(limits), _MOST_LIMITS):
-            told = dict(limits[first : first + _MOST_LIMITS])
-            await self._send(hosts, [self._name, {}, False, told])
+            yield _News(name, {}, False, dict(limits[first : first + _MOST_LIMITS]))
 
     def _changed(self, counts):
         changed = {
@@ -90,28 +139,77 @@
         changed.update(dict.fromkeys(set(self._told) - set(counts), 0))
         return changed
 
-    async def _send(self, hosts, message):
-        data = orjson.dumps(message)
-        for host in hosts:
-            try:
-                await self._endpoint.send(Address(host, self._own.port), data)
-            except OSError as exc:
-                log_event("share-unsent", level="debug", host=host, why=str(exc))
+    def _others(self):
+        own = self._presence().name
+        return [e for e in self._there().values() if e.name != own and e.is_open]
+
+    def _near(self):
+        data_centre = self._presence().data_centre
+        near = [e for e in self._others() if e.data_centre == data_centre]
+        return sorted(near, key=lambda entry: entry.name)[:_MOST_PEERS]
+
+    def _far(self):
+        own = self._presence()
+        there = [own, *self._others()]
+        return far_receivers(own.name, there, own.data_centre)
 
-    def _other_hosts(self):
-        hosts = {Address.parse(address).host for address in self._peers()}
-        return sorted(hosts - {self._own.host})[:_MOST_PEERS]
+    def _gather(self, news):
+        before = self._gathered.get(news.gateway)
+        self._gathered[news.gateway] = before.followed_by(news) if before else news
+
+    async def _pass_far(self):
+        gathered, self._gathered = list(self._gathered.values()), {}
+        receivers = self._far()
+        if gathered and receivers:
+            await self._send(_Hop.BETWEEN, receivers, gathered)
+
+    async def _send(self, hop, receivers, news):
+        for data in _datagrams(hop, news):
+            for receiver in receivers:
+                try:
+                    await self._endpoint.send(Address.parse(receiver.internal), data)
+                except OSError as exc:
+                    log_event(
+                        "share-unsent",
+                        level="debug",
+                        host=receiver.internal,
+                        why=str(exc),
+                    )
 
     async def _listen(self):
         while True:
             try:
-                message = orjson.loads(await self._endpoint.receive())
-                name, counts, is_all, *limits = message
-                self._servers.take_shares(str(name), dict(counts), bool(is_all))
-                for told in limits:
-                    self._servers.take_limits(told)
+                hop, packed = orjson.loads(await self._endpoint.receive())
+                news = [_News.from_json(item) for item in packed]
+                for item in news:
+                    self._take(item, hop)
+                if hop == _Hop.BETWEEN:
+                    await self._send(_Hop.PASSED_ON, self._near(), news)
             except OSError as exc:
                 # A gateway that has ended: its port answers that nobody listens.
                 log_event("share-unreceived", level="debug", why=str(exc))
             except (AttributeError, TypeError, ValueError) as exc:
                 log_event("share-unreadable", level="warning", why=str(exc)[:200])
+
+    def _take(self, news, hop):
+        self._servers.take_shares(news.gateway, news.counts, news.is_all)
+        self._servers.take_limits(news.limits)
+        if hop == _Hop.OWN:
+            self._gather(news)
+
+
+def _datagrams(hop, news):
+    """Pack news into datagrams of bounded length, each of whole pieces."""
+    packed, length_bytes = [], 0
+    for item in news:
+        data = orjson.dumps(item.as_list())
+        if packed and length_bytes + len(data) > _DATAGRAM_BYTES:
+            yield _datagram(hop, packed)
+            packed, length_bytes = [], 0
+        packed.append(data)
+        length_bytes += len(data)
+    yield _datagram(hop, packed)
+
+
+def _datagram(hop, packed):
+    return b"[%d,[%s]]" % (hop, b",".join(packed))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
@@ -3,6 +3,7 @@
 import trio.testing
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
+from gooseberryyoke_daemon.control import EntryPresence
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.gateway.sharing import LoadSharing
 from gooseberryyoke_daemon.testing.routed import (
@@ -110,12 +111,15 @@
     def __init__(self, network, number, count):
         self.servers = Servers("a", None, f"g{number}")
         own = Address(f"10.7.0.{number}", 70)
-        names = [f"g{other}" for other in range(count)]
+        there = {
+            f"g{other}": EntryPresence(
+                f"g{other}", f"10.7.0.{other}:80", f"10.7.0.{other}:70", "a", True
+            )
+            for other in range(count)
+        }
         self.sharing = LoadSharing(
-            f"g{number}",
-            own,
-            lambda: [f"10.7.0.{other}:80" for other in range(count)],
-            lambda: [name for name in names if name != f"g{number}"],
+            lambda: there[f"g{number}"],
+            lambda: there,
             self.servers,
             network.host(own.host).datagrams(own),
         )
