Let relays send to whichever relay of a data centre is heard

Change: a relay sends to its counterpart unless only the other relay there has been heard for 1.2 s, and to both while neither is.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -18,6 +18,8 @@
 _TELL_ALL_S = 1.0
 _MOST_LIMITS = 100
 """In one datagram."""
+_HEARD_S = 1.2
+"""A relay sends news at least each second."""
 _DATAGRAM_BYTES = 1200
 """Longer ones would be sent in parts, and be lost with any of them."""
 _MOST_PEERS = 32
@@ -95,6 +97,7 @@
         self._endpoint = endpoint
         self._told = {}
         self._gathered = {}
+        self._heard_s = {}
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Tell and listen until cancelled."""
@@ -151,7 +154,11 @@
     def _far(self):
         own = self._presence()
         there = [own, *self._others()]
-        return far_receivers(own.name, there, own.data_centre)
+        return far_receivers(own.name, there, own.data_centre, self._is_heard)
+
+    def _is_heard(self, name):
+        heard_s = self._heard_s.get(name, float("-inf"))
+        return trio.current_time() - heard_s < _HEARD_S
 
     def _gather(self, news):
         before = self._gathered.get(news.gateway)
@@ -164,7 +171,7 @@
             await self._send(_Hop.BETWEEN, receivers, gathered)
 
     async def _send(self, hop, receivers, news):
-        for data in _datagrams(hop, news):
+        for data in _datagrams(hop, self._presence().name, news):
             for receiver in receivers:
                 try:
                     await self._endpoint.send(Address.parse(receiver.internal), data)
@@ -179,11 +186,12 @@
     async def _listen(self):
         while True:
             try:
-                hop, packed = orjson.loads(await self._endpoint.receive())
+                hop, sender, packed = orjson.loads(await self._endpoint.receive())
                 news = [_News.from_json(item) for item in packed]
                 for item in news:
                     self._take(item, hop)
                 if hop == _Hop.BETWEEN:
+                    self._heard_s[str(sender)] = trio.current_time()
                     await self._send(_Hop.PASSED_ON, self._near(), news)
             except OSError as exc:
                 # A gateway that has ended: its port answers that nobody listens.
@@ -198,18 +206,18 @@
             self._gather(news)
 
 
-def _datagrams(hop, news):
+def _datagrams(hop, sender, news):
     """Pack news into datagrams of bounded length, each of whole pieces."""
     packed, length_bytes = [], 0
     for item in news:
         data = orjson.dumps(item.as_list())
         if packed and length_bytes + len(data) > _DATAGRAM_BYTES:
-            yield _datagram(hop, packed)
+            yield _datagram(hop, sender, packed)
             packed, length_bytes = [], 0
         packed.append(data)
         length_bytes += len(data)
-    yield _datagram(hop, packed)
+    yield _datagram(hop, sender, packed)
 
 
-def _datagram(hop, packed):
-    return b"[%d,[%s]]" % (hop, b",".join(packed))
+def _datagram(hop, sender, packed):
+    return b"[%d,%s,[%s]]" % (hop, orjson.dumps(sender), b",".join(packed))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing.py
@@ -125,7 +125,7 @@
     async def main(gateways):
         for name in lost:
             gateways.scopes[name].cancel()
-        await trio.sleep(0.1)
+        await trio.sleep(1.4)
         gateways.begin("g14", "s7", 2)
         await trio.sleep(0.5)
         others = gateways.there.keys() - set(lost)
@@ -174,11 +174,11 @@
         b"x",
         b"[]",
         b"3",
-        b'[0,[["g9",3,true,{}]]]',
-        b'[0,[["g9",{"s1":"x"},true,{}]]]',
-        b'[1,[["g9",{},true,{"s1":[-2,0]}]]]',
-        b'[0,[["g9"]]]',
-        orjson.dumps([7, [["g9", {}, False, [1]]]]),
+        b'[0,"g9",[["g9",3,true,{}]]]',
+        b'[0,"g9",[["g9",{"s1":"x"},true,{}]]]',
+        b'[1,"g9",[["g9",{},true,{"s1":[-2,0]}]]]',
+        b'[0,"g9",[["g9"]]]',
+        orjson.dumps([7, "g9", [["g9", {}, False, [1]]]]),
     ],
 )
 def test_an_unreadable_datagram_ends_nothing(data):
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/relays.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/relays.py
@@ -25,7 +25,7 @@
     return sorted(there, key=lambda entry: entry.name)[:_RELAYS]
 
 
-def far_receivers(name, entries, data_centre):
+def far_receivers(name, entries, data_centre, is_heard):
     """
     Tell to whom an entry passes on the news of its data centre.
 
@@ -37,12 +37,14 @@
         Those that are there, this one included.
     data_centre : str
         Of the entry.
+    is_heard : callable
+        Takes a name, and tells whether that relay has sent news lately.
 
     Returns
     -------
     list of EntryPresence
-        One of each other data centre, the counterpart of this one among its relays;
-        none if this entry is no relay.
+        Of each other data centre the counterpart of this one, unless only the other
+        relay is heard; both if neither is. None if this entry is no relay.
     """
     entries = list(entries)
     own_relays = [entry.name for entry in relays_of(entries, data_centre)]
@@ -50,5 +52,10 @@
         return []
     place = own_relays.index(name)
     far = {entry.data_centre for entry in entries} - {data_centre}
-    counterparts = [relays_of(entries, other) for other in sorted(far)]
-    return [relays[place % len(relays)] for relays in counterparts]
+    receivers = []
+    for other in sorted(far):
+        relays = relays_of(entries, other)
+        relays = relays[place:] + relays[:place]
+        heard = [relay for relay in relays if is_heard(relay.name)]
+        receivers += heard[:1] or relays
+    return receivers
