Let stand-ins of a group's lease look as seldom as they are told to

Cause: the pause between two looks was the shorter of the stand-in's own and the rest of the lease's term, 2.5 s, so that the longer one never came into effect: 192 ranks read at every seat each 2.5 s.

Change: who stands in keeps its own pause, and takes the lease if it has not changed between two looks. With all four candidates of a group gone, its map stays for up to two looks, 12.5 s, instead of 7.5 s.

Tests: a stand-in with looks of 30 s reads 15 to 21 times in 600 s (failed before); it takes a lease that nobody renews within two looks.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/compose_routed.py
@@ -51,7 +51,7 @@
 _GROUP_LOOK_S = 0.2
 _STAND_IN_LOOK_S = 5.0
 """Of the first ranks that are no candidates for their group's lease: with all
-candidates gone, one of them drives within 7.5 s, and the group keeps its map until
+candidates gone, one of them drives within two looks, and the group keeps its map until
 then."""
 _STAND_IN_SHARE = 0.25
 """Of that time, by which each next rank looks less often. All together look hardly more
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/keeper.py
@@ -43,7 +43,8 @@
         See `LeaseView`.
     look_s : float, optional
         Between two looks at a lease that another holds; a third of its term by
-        default. Longer for one that only stands in for those who look more often.
+        default. Longer than a term for one that only stands in for those who look
+        more often; it takes the lease if it has not changed between two looks.
 
     Attributes
     ----------
@@ -122,12 +123,19 @@
         decision = self._view.decide(found.unwrap(), self._now())
         if isinstance(decision, Wait):
             self._lose()
-            pause_s = max(0.0, decision.until_s - self._now())
             spread_s = self._rng.uniform(0, renewal_s / 10)
-            return min(pause_s, self._look_s) + spread_s
+            return self._pause_s(decision) + spread_s
         await self._write(found.unwrap().version, decision.lease, renewal_s)
         return renewal_s
 
+    def _pause_s(self, wait):
+        if self._look_s > self._ttl_s:
+            # One that stands in doesn't look at the end of each term: hundreds of
+            # them would read a lease that is renewed all the time.
+            return self._look_s
+        left_s = max(0.0, wait.until_s - self._now())
+        return min(left_s, self._look_s)
+
     async def _write(self, version, lease, timeout_s):
         # The term counts from before the write: whoever waits counts it from a
         # time after the write.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/leases/tests/test_lease_keeper.py
@@ -196,3 +196,51 @@
         assert 20 <= nobody.reads <= 60
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_one_that_stands_in_looks_seldom_at_a_lease_that_is_renewed():
+    # Guards against load on replicas that grows with the ranks of a group: each of them
+    # reads the lease at the end of each term.
+    async def main(replicas, start):
+        await start("a")
+        client = await replicas.client("b")
+        reads = []
+        read = client.read
+
+        async def counted(key, timeout_s):
+            reads.append(trio.current_time())
+            return await read(key, timeout_s)
+
+        client.read = counted
+        keeper = LeaseKeeper(
+            client, "group", "b", trio.current_time, replicas.rng, TTL_S, look_s=30.0
+        )
+        with trio.move_on_after(600.0):
+            await keeper.run()
+        assert 15 <= len(reads) <= 21
+        assert keeper.grant() is None
+
+    run(main)
+
+
+def test_one_that_stands_in_takes_a_lease_that_nobody_renews():
+    # Guards against a group without a driver once all its candidates are gone.
+    async def main(replicas, start):
+        holder = await start("a")
+        await trio.sleep(10.0)
+        client = await replicas.client("b")
+        keeper = LeaseKeeper(
+            client, "group", "b", trio.current_time, replicas.rng, TTL_S, look_s=15.0
+        )
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(keeper.run)
+                await trio.sleep(40.0)
+                assert keeper.grant() is None
+                holder.scope.cancel()
+                with trio.fail_after(35.0):
+                    while keeper.grant() is None:
+                        await trio.sleep(0.1)
+                scope.cancel()
+
+    run(main)
