--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/headers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/headers.py
@@ -1,8 +1,6 @@
 """Headers between callers, gateways and backend servers."""
 
-from gooseberryyoke.record import Record
-
-__all__ = ["HeaderNames", "end_to_end", "without"]
+__all__ = ["end_to_end", "without"]
 
 _HOP_BY_HOP = frozenset(
     (
@@ -20,68 +18,6 @@
 _FRAMING = frozenset(("content-length", "expect"))
 
 
-class HeaderNames(Record):
-    """
-    The names that a deployment uses, in lower case.
-
-    Parameters
-    ----------
-    attempt_id : str
-        Identity of one attempt of a caller; servers echo it.
-    deadline_ms : str
-        How long the caller waits from now, in ms.
-    signature : str
-        The server's proof of its answer.
-    account : str
-        The client account that a gateway found; never taken from callers.
-    expected_server : str
-        Id of the server that a request is meant for; others refuse it.
-    load : str
-        A server's running and waiting requests and its slots, by commas.
-    limit : tuple of str
-        Any of these has the requests a second that a server takes from all gateways
-        together.
-    not_run : str
-        Says that the server has not run the request.
-    priority : str
-        From 0, the most urgent, to 9; a server admits by it.
-    """
-
-    __slots__ = (
-        "attempt_id",
-        "deadline_ms",
-        "signature",
-        "account",
-        "expected_server",
-        "load",
-        "limit",
-        "not_run",
-        "priority",
-    )
-
-    def __init__(
-        self,
-        attempt_id="gooseberryyoke-attempt",
-        deadline_ms="gooseberryyoke-deadline-ms",
-        signature="gooseberryyoke-signature",
-        account="gooseberryyoke-account",
-        expected_server="gooseberryyoke-expected-server",
-        load="gooseberryyoke-load",
-        limit=("gooseberryyoke-limit",),
-        not_run="gooseberryyoke-not-run",
-        priority="gooseberryyoke-priority",
-    ):
-        self.attempt_id = attempt_id
-        self.deadline_ms = deadline_ms
-        self.signature = signature
-        self.account = account
-        self.expected_server = expected_server
-        self.load = load
-        self.limit = tuple(limit)
-        self.not_run = not_run
-        self.priority = priority
-
-
 def end_to_end(headers):
     """
     Leave out what concerns one connection only.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -8,7 +8,7 @@
 from trio._core import _run as scheduler
 
 from gooseberryyoke_daemon.compose_routed import Control, Gateway, Rank
-from gooseberryyoke_daemon.gateway import HeaderNames
+from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.routed_settings import (
     ControlSettings,
     GatewaySettings,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -14,9 +14,10 @@
     RouteTable,
     Split,
 )
-from gooseberryyoke_daemon.gateway import GatewayNode, HeaderNames
+from gooseberryyoke_daemon.gateway import GatewayNode
 from gooseberryyoke_daemon.gateway.call import ServerCalls
 from gooseberryyoke_daemon.gateway.servers import Servers
+from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
