Split the composition root of routed processes by role

The package gooseberryyoke_daemon.routed has a module for each role and one for what all have; imports stand at the top again. Behaviour as before, but that a rank process loads the driver's modules at its start and not once its group is known.

The test of what roles load imports these modules themselves now, and covers control processes and ranks against the gateway too.

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -0,0 +1,181 @@
+"""A process that callers connect to."""
+
+import trio
+
+from gooseberryyoke.membership.following import FollowMajority
+from gooseberryyoke.membership.server_book import ServerBook
+from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke.routing.table_news import TableNews
+from gooseberryyoke_daemon.control.feed import Feed
+from gooseberryyoke_daemon.control.link import Links, Listener
+from gooseberryyoke_daemon.control.presence import EntryPresence, Roster
+from gooseberryyoke_daemon.gateway import GatewayNode
+from gooseberryyoke_daemon.gateway.servers import Servers
+from gooseberryyoke_daemon.gateway.sharing import LoadSharing
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.routed.node import Node
+from gooseberryyoke_daemon.tables import TableRelay, TableWatcher, ToldTables
+from gooseberryyoke_daemon.wire import HttpClient, Limits
+
+__all__ = ["Gateway"]
+
+_SERVER_CONNECT_S = 0.15
+"""Twenty times what a connection within a region takes. A server that has crashed
+never answers, and one whose queue of new connections is full drops the first packet,
+which is sent again only after a second: another server has answered by then."""
+_METRICS_AFTER_S = 8.0
+"""From the start, when the requests that waited for it have been served."""
+
+
+class Gateway(Node):
+    """
+    A process that callers connect to.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    decode : callable
+        Takes a table's text and gives a Result of RouteTable, list of str.
+    names : HeaderNames
+    network : TcpNetwork or MemoryHost
+    rng : random.Random
+    retry_digits : int
+        See `problem_response`.
+
+    Attributes
+    ----------
+    node : GatewayNode
+    """
+
+    def __init__(self, settings, decode, names, network, rng, retry_digits=0):
+        super().__init__(settings.node, network, rng)
+        self._callers = settings.callers
+        name = settings.node.name
+        self.servers = Servers(settings.node.data_centre, rng, name)
+        self.news = TableNews()
+        told = ToldTables(self.news, self.store)
+        self.watcher = TableWatcher(told, decode, self._use_table, rng=rng)
+        server_client = HttpClient(
+            network,
+            Limits(pool_connections=0),
+            keeps_host=True,
+            connect_timeout_s=_SERVER_CONNECT_S,
+        )
+        budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        self.node = GatewayNode(
+            self.watcher, self.servers, server_client, names, rng, budget, retry_digits
+        )
+        self.book = ServerBook()
+        self._links = Links(
+            self.client,
+            lambda: self.contacts,
+            self.seats,
+            _GatewayListener(self),
+            rng,
+            FollowMajority(name),
+        )
+        self.roster = Roster(self.presence)
+        self.feed = Feed(self.book, self.news, self._view, rng)
+        self._relay = TableRelay(self.store)
+        self._sharing = LoadSharing(
+            self.presence,
+            lambda: self.roster.there(trio.current_time()),
+            self.servers,
+            network.datagrams(settings.node.internal),
+        )
+
+    async def _load_metrics(self):
+        await trio.sleep(_METRICS_AFTER_S)
+        self.node.observer.load()
+
+    def addresses(self, data_centre):
+        """
+        List where callers may connect; see `Roster`.
+
+        Parameters
+        ----------
+        data_centre : str
+
+        Returns
+        -------
+        list of str
+        """
+        return self.roster.addresses(data_centre, trio.current_time())
+
+    def _use_table(self, table):
+        self.node.use_limits(table)
+
+    def _view(self):
+        there = self.roster.there(trio.current_time()).values()
+        return {
+            "entries": sorted(entry.as_list() for entry in there),
+            "heard": [],
+            "seats": self.seats.to_json(),
+            "controls": self._links.controls(),
+        }
+
+    def presence(self):
+        """Give this gateway's `EntryPresence`."""
+        return EntryPresence(
+            self.settings.name,
+            str(self._callers),
+            str(self.settings.internal),
+            self.settings.data_centre,
+            self.node.is_open,
+        )
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            listeners = await self.network.listen(self._callers)
+            await nursery.start(self.node.run, listeners)
+            await self.serve_internal(nursery, [self.feed.handle, self._relay.handle])
+            await nursery.start(self.registers.run)
+            await nursery.start(self.feed.run)
+            await nursery.start(self._links.run)
+            await nursery.start(self.watcher.run)
+            await nursery.start(self._sharing.run)
+            task_status.started()
+            log_event("started", role="gateway")
+            nursery.start_soon(self._load_metrics)
+
+    async def stop(self, times):
+        """
+        End without cutting work; the caller then cancels `run`.
+
+        Parameters
+        ----------
+        times : GatewayStop
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.node.stop, times)
+            await trio.sleep(0)
+            self._links.report_now()
+            self.feed.leave()
+
+
+class _GatewayListener(Listener):
+    """Hands over what control processes tell to the parts of a gateway."""
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+
+    def servers(self, entries):
+        self._gateway.servers.take(entries)
+        now = trio.current_time()
+        changes = [self._gateway.book.take(entry, now) for entry in entries]
+        if any(changes):
+            self._gateway.feed.wake()
+
+    def seats(self):
+        self._gateway.seats_changed()
+
+    def entries(self, address, entries, heard):
+        self._gateway.roster.hear(address, entries, trio.current_time())
+
+    def table(self, packed, told_s):
+        if self._gateway.news.take_json(packed, told_s):
+            self._gateway.watcher.look_now()
+
+    def presence(self):
+        return self._gateway.presence().as_dict()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -7,8 +7,10 @@
 import trio.testing
 from trio._core import _run as scheduler
 
-from gooseberryyoke_daemon.compose_routed import Control, Gateway, Rank
 from gooseberryyoke_daemon.header_names import HeaderNames
+from gooseberryyoke_daemon.routed.control import Control
+from gooseberryyoke_daemon.routed.gateway import Gateway
+from gooseberryyoke_daemon.routed.rank import Rank
 from gooseberryyoke_daemon.routed_settings import (
     ControlSettings,
     GatewaySettings,
