Keep what a followed process has told in a type of its own

Links._follow carried four values by hand from answer to call and did three jobs. _Seen has them; noting who is reached stands apart. What an answer lacks is found where it is read, so that a malformed one counts as none.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -4,6 +4,7 @@
 
 from gooseberryyoke.membership.following import FollowAll
 from gooseberryyoke.membership.server_book import ServerEntry
+from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
 from gooseberryyoke_daemon.wire import Address, WireError
@@ -119,7 +120,7 @@
             task_status.started()
             while True:
                 for address in sorted(self._wanted() - self._followed.keys()):
-                    self._followed[address] = False
+                    self._followed[address] = None
                     nursery.start_soon(self._follow, address)
                 await trio.sleep(_RETRY_S)
 
@@ -135,34 +136,18 @@
             waker.cancel()
 
     async def _follow(self, address):
-        life, count, digest, version = "", 0, "", None
+        seen, target = _Seen(), Address.parse(address)
         pause_s = _RETRY_S
         answered_s = trio.current_time()
-        target = Address.parse(address)
-        was_reached = None
         while address in self._wanted():
-            payload = {
-                "life": life,
-                "since": count,
-                "view": digest,
-                "table": version,
-                "wait_ms": round(1000 * self._wait_s) if life else 0,
-            }
             called_s = trio.current_time()
-            reply = await self._call(target, payload)
-            is_reached = reply is not None
-            if is_reached != was_reached:
-                event = "control-reached" if is_reached else "control-lost"
-                log_event(event, level="warning", address=address)
-            self._followed[address] = was_reached = is_reached
-            if is_reached:
-                self._plan.answered(address)
+            told = await self._call(target, seen.to_json(self._wait_s))
+            self._note_reached(address, told is not None)
+            if told is not None:
+                seen = told
                 pause_s = _RETRY_S
-                life, count = reply["life"], reply["count"]
-                digest, version = reply["digest"], _version_of(reply["table"])
                 answered_s = trio.current_time()
                 continue
-            self._plan.failed(address, trio.current_time())
             if trio.current_time() - answered_s > _FORGET_S:
                 break
             if trio.current_time() - called_s >= self._call_timeout_s:
@@ -170,6 +155,16 @@
             await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
         self._forget(address)
 
+    def _note_reached(self, address, is_reached):
+        if is_reached != self._followed[address]:
+            event = "control-reached" if is_reached else "control-lost"
+            log_event(event, level="warning", address=address)
+        self._followed[address] = is_reached
+        if is_reached:
+            self._plan.answered(address)
+        else:
+            self._plan.failed(address, trio.current_time())
+
     def _forget(self, address):
         del self._followed[address]
         self._heard.pop(address, None)
@@ -192,7 +187,7 @@
                     repeatable=True,
                 )
                 self._take(str(target), reply.payload, asked_s)
-                return reply.payload
+                return _Seen.of(reply.payload)
             except WireError:
                 return None
             except (AttributeError, KeyError, TypeError, ValueError) as exc:
@@ -221,5 +216,29 @@
         self._entries[address] = (view["entries"], view["heard"])
 
 
-def _version_of(packed):
-    return None if packed is None else packed[0]
+class _Seen(Record):
+    """What a followed process has told so far: it tells only what came since."""
+
+    __slots__ = ("life", "count", "digest", "version")
+
+    def __init__(self, life="", count=0, digest="", version=None):
+        self.life = life
+        self.count = count
+        self.digest = digest
+        self.version = version
+
+    @classmethod
+    def of(cls, reply):
+        table = reply["table"]
+        version = None if table is None else table[0]
+        return cls(reply["life"], reply["count"], reply["digest"], version)
+
+    def to_json(self, wait_s):
+        # The first call of all is answered at once.
+        return {
+            "life": self.life,
+            "since": self.count,
+            "view": self.digest,
+            "table": self.version,
+            "wait_ms": round(1000 * wait_s) if self.life else 0,
+        }
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -1,5 +1,6 @@
 from random import Random
 
+import pytest
 import trio
 import trio.testing
 
@@ -11,7 +12,13 @@
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
 from gooseberryyoke_daemon.registers import RegisterClient
 from gooseberryyoke_daemon.tables import TableStore
-from gooseberryyoke_daemon.wire import Address, HttpClient, HttpServer, Limits
+from gooseberryyoke_daemon.wire import (
+    Address,
+    HttpClient,
+    HttpServer,
+    Limits,
+    json_response,
+)
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
 CONTROL = Address("10.0.0.1", 70)
@@ -130,3 +137,31 @@
         assert followed.reply_bytes[before] < 0.5 * max(followed.reply_bytes)
 
     run(main)
+
+
+@pytest.mark.parametrize("answer", [[], {}, {"servers": [], "view": None}, 3, None])
+def test_a_malformed_answer_ends_neither_the_follower_nor_its_calls(answer):
+    # Guards against a process that ends since another's answer lacks a field.
+    async def main():
+        network, calls = MemoryNetwork(latency_s=0.001), []
+
+        async def handle(request):
+            calls.append(request)
+            return json_response(200, answer)
+
+        listeners = await network.host(CONTROL.host).listen(CONTROL)
+        links = Links(
+            HttpClient(network.host("10.7.0.1")),
+            lambda: [str(CONTROL)],
+            SeatMap(),
+            Listener(),
+            Random(1),
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(HttpServer(handle, Limits()).run, listeners)
+            await nursery.start(links.run)
+            await trio.sleep(5.0)
+            assert len(calls) > 5
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
