--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -297,7 +297,7 @@
 
     async def _keep_joining(self, incarnation):
         """Make sure that this process can withdraw what it asks others to confirm."""
-        await self._keep_record_surely(joining=incarnation)
+        await self._keep_identities(self._record.asking(incarnation))
 
     async def _withdraw(self, incarnation):
         """
@@ -306,11 +306,14 @@
         Those that confirmed it don't know how many others have. While nobody can tell,
         the former holder of the seat must not vote again.
         """
-        if incarnation is None or incarnation != self._record.joining:
-            return
-        log_event("seat-withdrawn", level="warning", generation=incarnation.generation)
+        await self._keep_identities(self._record.withdrawing(incarnation))
+
+    async def _keep_identities(self, record, **changes):
+        if record.withdrawn != self._record.withdrawn:
+            generation = record.withdrawn[-1].generation
+            log_event("seat-withdrawn", level="warning", generation=generation)
         await self._keep_record_surely(
-            joining=None, withdrawn=(*self._record.withdrawn, incarnation)
+            joining=record.joining, withdrawn=record.withdrawn, **changes
         )
 
     def _all_withdrawn(self):
@@ -332,8 +335,8 @@
         while self.replica is not None:
             await trio.sleep(_FIRST_GREET_S)
         # In this order: an empty folder under the old seat would take it back.
-        await self._keep_record_surely(seat=None, nonce=self._new_nonce())
-        await self._withdraw(replica.unjoined)
+        left = self._record.leaving(replica.unjoined)
+        await self._keep_identities(left, seat=None, nonce=self._new_nonce())
         try:
             await self._disk.run(self._disk.set_aside, "taken-over")
         except OSError as exc:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/stored.py
@@ -50,6 +50,58 @@
         self.joining = joining
         self.withdrawn = tuple(withdrawn)
 
+    def asking(self, incarnation):
+        """
+        Note that an identity is about to ask to be confirmed.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+
+        Returns
+        -------
+        SeatRecord
+        """
+        record = self
+        if self.seat is None and self.joining != incarnation:
+            # The folder has taken another identity since, without having joined.
+            record = self.withdrawing(self.joining)
+        return record.replace(joining=incarnation)
+
+    def withdrawing(self, incarnation):
+        """
+        Note that an identity has not joined, and never will.
+
+        Parameters
+        ----------
+        incarnation : Incarnation or None
+
+        Returns
+        -------
+        SeatRecord
+            Unchanged if the identity never asked to be confirmed.
+        """
+        if incarnation is None or incarnation != self.joining:
+            return self
+        return self.replace(joining=None, withdrawn=(*self.withdrawn, incarnation))
+
+    def leaving(self, unjoined):
+        """
+        Note that the seat is given up.
+
+        Parameters
+        ----------
+        unjoined : Incarnation or None
+            The identity of a replica that has never voted. One that has must not be
+            withdrawn.
+
+        Returns
+        -------
+        SeatRecord
+        """
+        record = self.withdrawing(unjoined)
+        return record.replace(seat=None, joining=None)
+
 
 class SeatFile:
     """
