--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -6,11 +6,10 @@
 import trio
 
 from gooseberryyoke.outcome import Verdict
-from gooseberryyoke.placement import read_rate
 from gooseberryyoke.record import Record
 from gooseberryyoke.routing import RouteKind
 from gooseberryyoke_daemon.gateway.headers import end_to_end, without
-from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.gateway.report import read_report
 from gooseberryyoke_daemon.wire import Request, WireError
 
 __all__ = ["Call", "CallFailed", "ServerCalls"]
@@ -290,14 +289,15 @@
         return Request(req.method, req.target, headers, req.body)
 
     def _check(self, exchange, server, call):
-        self._note_load(server, call)
-        self._note_limit(server, call)
+        status = call.head.status
+        if status != _MISDIRECTED:
+            # Else it is another server's word, which has this one's address now.
+            self._hear(exchange, server, call)
         echoed = call.header(self._names.attempt_id)
         if echoed is not None and echoed != exchange.number:
             # Another request's answer must not reach this caller.
             detail = f"answer to {echoed}, expected one to {exchange.number}"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "crossed-answer", detail)
-        status = call.head.status
         if call.header(self._names.not_run) is not None and status >= _BAD_REQUEST:
             raise CallFailed(Verdict.NOT_RUN, "server-refused", f"status {status}")
         if status == _MISDIRECTED:
@@ -308,26 +308,6 @@
             detail = f"status {status} without a promise"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "server-failed", detail)
 
-    def _note_limit(self, server, call):
-        texts = [call.header(name) for name in self._names.limit]
-        told = ",".join(text for text in texts if text is not None)
-        rate = read_rate(told)
-        if told and rate is None:
-            # Neither a limit nor its end: the last word holds.
-            log_event("limit-unreadable", level="warning", server=server.entry.id)
-            return
-        before = server.limit.named_rate
-        server.limit.tell(rate, trio.current_time())
-        if (rate is None) != (before is None):
-            log_event("server-limit", server=server.entry.id, rate=rate)
-
-    def _note_load(self, server, call):
-        text = call.header(self._names.load)
-        if text is None:
-            return
-        try:
-            running, waiting, _ = (int(part) for part in text.split(","))
-        except ValueError:
-            # The server's word on its load is a hint; the answer still counts.
-            return
-        server.load.tell(running, waiting, trio.current_time())
+    def _hear(self, exchange, server, call):
+        report = read_report(call.head.status, call.head.headers, self._names)
+        server.hear(report, exchange.number, call.sent_s)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -30,6 +30,8 @@
     tried : set of str
         Ids of servers that it was sent to.
     sends : int
+    sent_s : float or None
+        When it was sent to a server last, on trio's clock.
     verdict : Verdict
         Of all attempts so far.
     longest_gap_s : float
@@ -50,6 +52,7 @@
         "is_late",
         "tried",
         "sends",
+        "sent_s",
         "verdict",
         "longest_gap_s",
     )
@@ -68,5 +71,6 @@
         self.is_late = False
         self.tried = set()
         self.sends = 0
+        self.sent_s = None
         self.verdict = None
         self.longest_gap_s = 0.0
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -71,6 +71,7 @@
     async def _attempt(self, exchange, server):
         exchange.tried.add(server.entry.id)
         exchange.sends += 1
+        exchange.sent_s = trio.current_time()
         call = await self._calls.open(exchange, server, self._until_s(exchange))
         try:
             return await self._answer(exchange, call)
@@ -160,6 +161,7 @@
             return None
         exchange.tried.add(server.entry.id)
         exchange.sends += 1
+        exchange.sent_s = trio.current_time()
         log_event(
             "stream-resumed",
             request=exchange.number,
@@ -224,6 +226,7 @@
             reason=exc.reason,
             detail=exc.detail,
             verdict=exc.verdict.value,
+            sent_ms=round((exchange.sent_s - exchange.received_s) * 1000),
             after_ms=round((now - exchange.received_s) * 1000),
         )
 
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server.py
@@ -0,0 +1,103 @@
+"""One backend server as this gateway sees it."""
+
+import trio
+
+from gooseberryyoke.placement import (
+    ServerBackoff,
+    ServerHealth,
+    ServerLoad,
+    ServerPace,
+)
+from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.wire import Address
+
+__all__ = ["Server"]
+
+
+class Server:
+    """
+    One life of a server: where it is, how it does, and what it has said of itself.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+    limit : RateLimit
+        This gateway's part of what the server takes.
+    pulse : GroupPulse or None
+        Of its group.
+    """
+
+    __slots__ = (
+        "entry",
+        "address",
+        "load",
+        "health",
+        "limit",
+        "backoff",
+        "pace",
+        "pulse",
+    )
+
+    def __init__(self, entry, limit, pulse=None):
+        self.entry = entry
+        self.limit = limit
+        self.pulse = pulse
+        self.address = Address.parse(entry.address)
+        self.load = ServerLoad()
+        self.health = ServerHealth()
+        self.backoff = ServerBackoff()
+        self.pace = ServerPace()
+
+    @property
+    def is_open(self):
+        """Whether its group makes steps; true for a server without a group."""
+        return self.entry.place is None or self.entry.place.is_open
+
+    def hear(self, report, request, sent_s):
+        """
+        Take what an answer of the server says.
+
+        Parameters
+        ----------
+        report : ServerReport
+        request : str
+            Id of the request that was answered, for logs.
+        sent_s : float
+            When that was sent, on trio's clock.
+        """
+        now = trio.current_time()
+        if report.unreadable:
+            # What was known of these holds.
+            log_event(
+                "server-report-unreadable",
+                level="warning",
+                server=self.entry.id,
+                told_to=request,
+                fields=",".join(report.unreadable),
+            )
+        if report.load is not None:
+            self.load.tell(*report.load, now)
+        if "rate" not in report.unreadable:
+            self._hear_rate(report.rate, now)
+        self._hear_backoff(report.backoff_s, request, sent_s, now)
+        if report.is_leaving:
+            log_event("server-leaving", server=self.entry.id, told_to=request)
+
+    def _hear_rate(self, rate, now):
+        before = self.limit.named_rate
+        self.limit.tell(rate, now)
+        if (rate is None) != (before is None):
+            log_event("server-limit", server=self.entry.id, rate=rate)
+
+    def _hear_backoff(self, pause_s, request, sent_s, now):
+        if not pause_s:
+            self.backoff.answered(sent_s)
+            return
+        self.backoff.asked(pause_s, now)
+        log_event(
+            "server-backoff",
+            server=self.entry.id,
+            told_to=request,
+            asked_ms=round(1000 * pause_s),
+            left_ms=round(1000 * (self.backoff.until_s - now)),
+        )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -11,19 +11,16 @@
     USUAL_FIRST_S,
     GroupPulse,
     RateLimit,
-    ServerHealth,
-    ServerLoad,
-    ServerPace,
     choose_server,
     free_places,
     has_place,
     kept_places,
     usual_pace,
 )
+from gooseberryyoke_daemon.gateway.server import Server
 from gooseberryyoke_daemon.logs import log_event
-from gooseberryyoke_daemon.wire import Address
 
-__all__ = ["Server", "Servers"]
+__all__ = ["Servers"]
 
 _FORGET_S = 86_400.0
 """Without a change, of which alone gateways are told. Bounds the memory: a server that
@@ -38,36 +35,6 @@
 """A draft of 28 events at a busy engine."""
 
 
-class Server:
-    """
-    One server with its load, health, limit and pace.
-
-    Parameters
-    ----------
-    entry : ServerEntry
-    limit : RateLimit
-        This gateway's part of what the server takes.
-    pulse : GroupPulse or None
-        Of its group.
-    """
-
-    __slots__ = ("entry", "address", "load", "health", "limit", "pace", "pulse")
-
-    def __init__(self, entry, limit, pulse=None):
-        self.entry = entry
-        self.limit = limit
-        self.pulse = pulse
-        self.address = Address.parse(entry.address)
-        self.load = ServerLoad()
-        self.health = ServerHealth()
-        self.pace = ServerPace()
-
-    @property
-    def is_open(self):
-        """Whether its group makes steps; true for a server without a group."""
-        return self.entry.place is None or self.entry.place.is_open
-
-
 class Servers:
     """
     Servers by id.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
@@ -26,6 +26,8 @@
     limit : tuple of str
         Any of these has the requests a second that a server takes from all gateways
         together.
+    leaving : tuple of str
+        Any of these says by ``1`` that the server leaves.
     not_run : str
         Says that the server has not run the request.
     priority : str
@@ -40,6 +42,7 @@
         "expected_server",
         "load",
         "limit",
+        "leaving",
         "not_run",
         "priority",
     )
@@ -53,6 +56,7 @@
         expected_server="gooseberryyoke-expected-server",
         load="gooseberryyoke-load",
         limit=("gooseberryyoke-limit",),
+        leaving=("gooseberryyoke-leaving",),
         not_run="gooseberryyoke-not-run",
         priority="gooseberryyoke-priority",
     ):
@@ -63,5 +67,6 @@
         self.expected_server = expected_server
         self.load = load
         self.limit = tuple(limit)
+        self.leaving = tuple(leaving)
         self.not_run = not_run
         self.priority = priority
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -1,5 +1,6 @@
 """Which server takes a request, and who waits when all are full."""
 
+from gooseberryyoke.placement.backoff import ServerBackoff, read_backoff
 from gooseberryyoke.placement.choose import choose_server, usual_pace
 from gooseberryyoke.placement.health import ServerHealth
 from gooseberryyoke.placement.load import SHARE_LIFE_S, ServerLoad
@@ -17,6 +18,7 @@
     "GroupPulse",
     "PatienceLeft",
     "RateLimit",
+    "ServerBackoff",
     "ServerHealth",
     "ServerLoad",
     "ServerPace",
@@ -26,6 +28,7 @@
     "free_places",
     "has_place",
     "kept_places",
+    "read_backoff",
     "read_rate",
     "usual_pace",
 ]
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
@@ -0,0 +1,123 @@
+"""The pause that a server asks an entry for when it turns a request away."""
+
+from math import isfinite
+
+__all__ = ["ServerBackoff", "read_backoff"]
+
+_LONGEST_S = 600.0
+"""A word that holds for longer than most servers live would leave one out for good."""
+
+
+def read_backoff(text):
+    """
+    Read for how long a server wants nothing.
+
+    Parameters
+    ----------
+    text : str
+        Value of Retry-After in seconds, or several with commas between, of which the
+        longest counts.
+
+    Returns
+    -------
+    float or None
+        In seconds, bounded; None if nothing in it is a number from 0. Dates are
+        none: clocks differ by more than such pauses last.
+    """
+    pauses = []
+    for part in text.split(","):
+        try:
+            seconds = float(part)
+        except ValueError:
+            continue
+        if isfinite(seconds) and seconds >= 0:
+            pauses.append(min(seconds, _LONGEST_S))
+    return max(pauses, default=None)
+
+
+class ServerBackoff:
+    """
+    Until when a server is left alone, and the one request that tries it afterwards.
+
+    Attributes
+    ----------
+    until_s : float
+        End of the pause.
+    """
+
+    __slots__ = ("until_s", "_is_untried", "_trial_s")
+
+    def __init__(self):
+        self.until_s = float("-inf")
+        self._is_untried = False
+        self._trial_s = None
+
+    def asked(self, pause_s, now):
+        """
+        Take the server's word.
+
+        Parameters
+        ----------
+        pause_s : float
+            In seconds; a pause that ends before an earlier one changes nothing.
+        now : float
+            In seconds.
+        """
+        if pause_s <= 0:
+            return
+        self.until_s = max(self.until_s, now + pause_s)
+        self._is_untried = True
+        self._trial_s = None
+
+    def answered(self, sent_s):
+        """
+        Note an answer that asks for no pause.
+
+        Parameters
+        ----------
+        sent_s : float
+            When its request was sent; one from before the pause says nothing.
+        """
+        if sent_s >= self.until_s:
+            self._is_untried = False
+            self._trial_s = None
+
+    def sent(self, now):
+        """Note at a time in seconds that a request goes to the server."""
+        if self._is_untried:
+            self._trial_s = now
+
+    def ended(self, sent_s):
+        """Note the end of a request, by the time in seconds at which it was sent."""
+        if self._trial_s == sent_s:
+            self._trial_s = None
+
+    def is_on(self, now):
+        """Tell whether the server wants nothing at a time in seconds."""
+        return now < self.until_s
+
+    @property
+    def is_untried(self):
+        """Whether no request has shown yet that a pause is over."""
+        return self._is_untried
+
+    def room(self, now):
+        """
+        Count the requests that may be sent at once.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        float
+            0 in a pause; 1 after it until a request was answered, so that not all
+            that wait meet a server that still needs rest; else infinite.
+        """
+        if self.is_on(now):
+            return 0
+        if not self._is_untried:
+            return float("inf")
+        return 0 if self._trial_s is not None else 1
