--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -1,5 +1,6 @@
 """A gateway before scripted servers, on a network in memory."""
 
+from contextlib import suppress
 from random import Random
 
 import trio
@@ -18,6 +19,7 @@
 from gooseberryyoke_daemon.gateway.call import ServerCalls
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.header_names import HeaderNames
+from gooseberryyoke_daemon.testing.arrivals import ArrivalCheck
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -35,6 +37,7 @@
 KEY = "deck-key"
 _CONNECT_S = 0.5
 _LIMIT_S = 3600
+_REFUSALS = (429, 503)
 
 
 def sample_table(version=1, **changes):
@@ -91,17 +94,31 @@
     ----------
     requests : list of Request
         As they arrived.
+    check : ArrivalCheck
+        Of what its answers ask for.
     """
 
     def __init__(self, id, answer):
         self.id = id
         self.answer = answer
         self.requests = []
+        self.check = ArrivalCheck()
 
     async def __call__(self, request):
         """Note the request and answer it."""
         self.requests.append(request)
-        return await self.answer(request)
+        self.check.arrived(trio.current_time())
+        response = await self.answer(request)
+        self._note_asked(response)
+        return response
+
+    def _note_asked(self, response):
+        now = trio.current_time()
+        if response.status in _REFUSALS:
+            with suppress(TypeError, ValueError):
+                self.check.asked_pause(now, float(response.header("retry-after")))
+        if response.header(NAMES.leaving[0]) == "1":
+            self.check.left(now)
 
 
 class _FixedTable:
@@ -168,15 +185,27 @@
         self._count += 1
         address = Address(f"10.1.0.{self._count}", 80)
         server = ScriptedServer(id, answer)
-        listeners = await self.network.host(address.host).listen(address)
         if handler is None:
-            await self._nursery.start(HttpServer(server).run, listeners)
+            await self.serve(server, address)
         else:
+            listeners = await self.network.host(address.host).listen(address)
             self._nursery.start_soon(trio.serve_listeners, handler, listeners)
         self.announce(id, address, **changes)
         return server
 
-    def announce(self, id, address, sequence=1, **changes):
+    async def serve(self, server, address):
+        """
+        Let a server be reached at an address, beside those that it has.
+
+        Parameters
+        ----------
+        server : ScriptedServer
+        address : Address
+        """
+        listeners = await self.network.host(address.host).listen(address)
+        await self._nursery.start(HttpServer(server).run, listeners)
+
+    def announce(self, id, address, sequence=1, born_ms=1, **changes):
         """
         Let the gateway know of a server.
 
@@ -184,7 +213,7 @@
         ----------
         id : str
         address : Address
-        sequence : int
+        sequence, born_ms : int
         **changes
             More fields of the `ServerEntry`.
         """
@@ -196,7 +225,7 @@
             **changes,
         }
         self.servers.take(
-            [ServerEntry(id, 1, sequence, address=str(address), **fields)]
+            [ServerEntry(id, born_ms, sequence, address=str(address), **fields)]
         )
 
     def request(self, path, attempt="a1", key=KEY, deadline_ms=8000, headers=()):
