--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from gooseberryyoke.membership.server_book import ServerState
 from gooseberryyoke.placement import (
     ServerBackoff,
     ServerHealth,
@@ -25,11 +26,17 @@
         This gateway's part of what the server takes.
     pulse : GroupPulse or None
         Of its group.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        It has said so, in an answer or an announcement; it does not come back.
     """
 
     __slots__ = (
         "entry",
         "address",
+        "is_leaving",
         "load",
         "health",
         "limit",
@@ -39,10 +46,10 @@
     )
 
     def __init__(self, entry, limit, pulse=None):
-        self.entry = entry
+        self.is_leaving = False
+        self.announced(entry)
         self.limit = limit
         self.pulse = pulse
-        self.address = Address.parse(entry.address)
         self.load = ServerLoad()
         self.health = ServerHealth()
         self.backoff = ServerBackoff()
@@ -53,6 +60,19 @@
         """Whether its group makes steps; true for a server without a group."""
         return self.entry.place is None or self.entry.place.is_open
 
+    def announced(self, entry):
+        """
+        Take a later announcement of the same life.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+        """
+        self.entry = entry
+        self.address = Address.parse(entry.address)
+        if entry.state is not ServerState.READY:
+            self.is_leaving = True
+
     def hear(self, report, request, sent_s):
         """
         Take what an answer of the server says.
@@ -80,7 +100,8 @@
         if "rate" not in report.unreadable:
             self._hear_rate(report.rate, now)
         self._hear_backoff(report.backoff_s, request, sent_s, now)
-        if report.is_leaving:
+        if report.is_leaving and not self.is_leaving:
+            self.is_leaving = True
             log_event("server-leaving", server=self.entry.id, told_to=request)
 
     def _hear_rate(self, rate, now):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from gooseberryyoke.membership.server_book import ServerBook, ServerState
+from gooseberryyoke.membership.server_book import ServerBook
 from gooseberryyoke.placement import (
     SHARE_LIFE_S,
     USUAL_FIRST_S,
@@ -98,9 +98,8 @@
         self._book.forget_old(now, _FORGET_S)
         for id, entry in self._book.entries.items():
             server = self._by_id.get(id)
-            is_same = server is not None and server.entry.born_ms == entry.born_ms
-            if is_same and server.entry.address == entry.address:
-                server.entry = entry
+            if server is not None and server.entry.born_ms == entry.born_ms:
+                server.announced(entry)
             else:
                 limit = RateLimit(id, self._name)
                 self._by_id[id] = Server(entry, limit, self._pulse(entry))
@@ -415,8 +414,4 @@
         return [s for s in self._ready() if s.entry.service == service]
 
     def _ready(self):
-        return (
-            server
-            for server in self._by_id.values()
-            if server.entry.state is ServerState.READY
-        )
+        return (server for server in self._by_id.values() if not server.is_leaving)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from gooseberryyoke.membership.server_book import RankPlace
+from gooseberryyoke.membership.server_book import RankPlace, ServerState
 from gooseberryyoke_daemon.testing.routed import NAMES, run_routed, sample_table
 from gooseberryyoke_daemon.wire import Address, ExchangeBroken, Response
 
@@ -271,6 +271,20 @@
     run_routed(main)
 
 
+def test_a_server_that_was_announced_as_draining_stays_so():
+    # Guards against an answer and an announcement that count differently: the earlier
+    # word of either kind holds for the rest of the life.
+    async def main(session):
+        leaver = await session.add("s1", serving())
+        address = Address("10.1.0.1", 80)
+        session.announce("s1", address, sequence=2, state=ServerState.DRAINING)
+        session.announce("s1", address, sequence=3)
+        assert (await session.ask("/read/x", deadline_ms=100)).status == 503
+        assert leaver.requests == []
+
+    run_routed(main)
+
+
 def test_a_new_address_does_not_end_a_pause():
     # Guards against what a server asked for being forgotten with its announcement.
     async def main(session):
