--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -231,18 +231,19 @@
 
         Notes
         -----
-        One that has room by all that is known is broken, and with it its group:
-        without work its members look best, and a request that is sent to two of
-        them in a row has no attempt left. One that asks for a pause speaks for itself
-        alone, and is left out for as long.
+        One that has room by all that is known is broken: without work it looks best,
+        and is left out for longer each time. Its group is broken with it unless the
+        group's streams move; a request that is sent to two of its members in a row
+        has no attempt left. A server that asks for a pause is left out for as long.
         """
         now = trio.current_time()
         if server.backoff.is_on(now):
             return
-        is_full = server.load.expected(now) > server.entry.slots * _FULL_PART
-        if is_full or server.pulse is None:
+        if server.load.expected(now) > server.entry.slots * _FULL_PART:
             server.health.was_full(now)
-        else:
+            return
+        server.health.refused(now)
+        if server.pulse is not None and not server.pulse.is_moving(now):
             self._note_closed(server.entry, "refused")
 
     def free_places(self, service):
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
@@ -8,6 +8,10 @@
 """For a server that crashed without a word, and whose connection costs a request
 0.15 s. One that starts again has a new life, and a clean record."""
 _FULL_SHUN_S = 0.05
+_FIRST_REFUSED_S = 0.1
+_LONGEST_REFUSED_S = 1.6
+"""For a server that has room and turns everything away: it looks idle, and would draw
+more than any other."""
 
 
 class ServerHealth:
@@ -22,17 +26,21 @@
         It gets no request before, unless there is no other server.
     failures : int
         In a row, those during one exclusion counted once.
+    refusals : int
+        As `failures`.
     """
 
-    __slots__ = ("shunned_until_s", "failures")
+    __slots__ = ("shunned_until_s", "failures", "refusals")
 
     def __init__(self):
         self.shunned_until_s = float("-inf")
         self.failures = 0
+        self.refusals = 0
 
     def succeeded(self):
         """Note a whole answer."""
         self.failures = 0
+        self.refusals = 0
         self.shunned_until_s = float("-inf")
 
     def failed(self, now):
@@ -62,6 +70,21 @@
         """
         self.shun(now, _FULL_SHUN_S)
 
+    def refused(self, now):
+        """
+        Note a refusal by a server that has room.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+        """
+        if self.is_shunned(now):
+            return
+        doublings = min(self.refusals, _MOST_DOUBLINGS)
+        self.refusals += 1
+        self.shun(now, min(_LONGEST_REFUSED_S, _FIRST_REFUSED_S * 2**doublings))
+
     def shun(self, now, seconds):
         """
         Leave it out for some time at least.
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/pulse.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/pulse.py
@@ -53,6 +53,7 @@
         "is_tried",
         "limit_part",
         "_active_s",
+        "_gave_s",
         "_next_try_s",
         "_pause_s",
         "_look_s",
@@ -66,6 +67,7 @@
         self._look_s = float("-inf")
         self._gaps = []
         self._active_s = float("-inf")
+        self._gave_s = float("-inf")
         self._next_try_s = float("-inf")
         self._pause_s = _FIRST_TRY_S
 
@@ -89,7 +91,7 @@
 
     def gave(self, now):
         """Note at a time in seconds that a part of an answer came."""
-        self._active_s = now
+        self._active_s = self._gave_s = now
         self.is_tried = False
         self._pause_s = _FIRST_TRY_S
 
@@ -139,6 +141,21 @@
         self.limit_part = min(self.limit_part, _NEW_GROUP_PART)
         self._next_try_s = now + self._pause_s
 
+    def is_moving(self, now):
+        """
+        Tell whether the group has given a part of an answer just now.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return now - self._gave_s <= _STILL_S
+
     def is_still(self, now):
         """
         Tell whether requests at the group get no answers at present.
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -1,3 +1,4 @@
+from itertools import pairwise
 from random import Random
 
 from gooseberryyoke.membership.server_book import ServerEntry, ServerState
@@ -72,6 +73,23 @@
     assert not health.is_shunned(10.6)
 
 
+def test_a_server_that_goes_on_refusing_is_left_out_for_longer_each_time():
+    # Guards against a server that turns everything away and, being idle, draws more
+    # than any other.
+    health, now, waits = ServerHealth(), 0.0, []
+    for _ in range(8):
+        health.refused(now)
+        health.refused(now)
+        waits.append(round(health.shunned_until_s - now, 6))
+        now = health.shunned_until_s
+    assert all(later >= earlier for earlier, later in pairwise(waits))
+    assert waits[0] < 0.2
+    assert 1.0 < waits[-1] < 3.0
+    health.succeeded()
+    health.refused(now)
+    assert not health.is_shunned(now + 0.2)
+
+
 def test_if_all_are_left_out_one_is_tried_all_the_same():
     sick = Candidate("x")
     sick.health.failed(0.0)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_pulse.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_pulse.py
@@ -53,6 +53,16 @@
     assert pulse.places(40, 2.3) == 40
 
 
+def test_only_parts_of_answers_show_that_a_group_moves():
+    # Guards against a request that was just sent being taken for a sign of life.
+    pulse = GroupPulse()
+    pulse.sent(1.0)
+    assert not pulse.is_moving(1.1)
+    pulse.gave(1.2)
+    assert pulse.is_moving(1.3)
+    assert not pulse.is_moving(2.0)
+
+
 def test_a_group_without_requests_is_not_taken_for_one_that_stands_still():
     pulse = GroupPulse()
     pulse.sent(0.0)
