--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/story.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/story.py
@@ -21,6 +21,9 @@
         "replicas-lost",
         "replicas-regained",
         "seats-changed",
+        "server-backoff",
+        "server-backoff-ended",
+        "server-leaving",
         "started",
         "starting",
         "stopped",
@@ -128,7 +131,8 @@
         fields = line.fields
         if fields.get("request") is not None:
             return fields["request"] == request
-        if not first_s <= line.at_s <= last_s:
+        begun_s = first_s - fields.get("left_ms", 0) / 1000
+        if not begun_s <= line.at_s <= last_s:
             return False
         if fields.get("server") in servers:
             return True
--- a/packages/gooseberryyoke-client/src/gooseberryyoke_client/tests/test_explain.py
+++ b/packages/gooseberryyoke-client/src/gooseberryyoke_client/tests/test_explain.py
@@ -67,3 +67,24 @@
     result = CliRunner().invoke(gooseberryyoke, ["explain", "a1", missing])
     assert result.exit_code == 1
     assert "missing.log" in result.output
+
+
+def test_a_pause_that_held_when_a_request_was_refused_is_told(tmp_path):
+    # Guards against a refusal whose cause began long before it.
+    told = {"node": "g-1", "server": "i-1", "told_to": "a0", "left_ms": 9000}
+    log = "\n".join(
+        [
+            line(2, "server-backoff", **{**told, "left_ms": 1000}),
+            line(8, "server-backoff", **told),
+            line(20, "request-refused", node="g-1", request="a1"),
+        ]
+    )
+    (tmp_path / "pauses.log").write_text(log)
+    path = str(tmp_path / "pauses.log")
+    result = CliRunner().invoke(gooseberryyoke, ["explain", "--json", "a1", path])
+    told = [(item["event"], item["time"][17:19]) for item in _lines(result)]
+    assert told == [("server-backoff", "08"), ("request-refused", "20")]
+
+
+def _lines(result):
+    return json.loads(result.output)["lines"]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -136,6 +136,8 @@
         metrics.set("requests_in_flight", self._server.exchanges)
         for service, count in self._servers.count_by_service().items():
             metrics.set("servers", count, service=service)
+        for service, count in self._servers.count_in_backoff().items():
+            metrics.set("servers_in_backoff", count, service=service)
         for group, part in self._servers.limit_parts().items():
             metrics.set("group_limit_part", part, group=group)
         return metrics.render()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -76,6 +76,16 @@
         self._put("count", "verdicts_total", verdict)
         self._put("count", "refusals_total", {**labels, "reason": refusal.reason})
 
+    def server_backoff(self, service):
+        """
+        Note a refusal by which a server asked for a pause.
+
+        Parameters
+        ----------
+        service : str
+        """
+        self._put("count", "server_backoffs_total", {"service": service})
+
     def _put(self, kind, name, labels, *values):
         if self.metrics is not None:
             getattr(self.metrics, kind)(name, *values, **labels)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -16,6 +16,7 @@
 
 _INTERNAL_ERROR = 500
 _NO_SERVER_RETRY_S = 0.5
+_REFUSALS = ("server-refused", "server-failed")
 _REROUTES = 3
 """Attempts that never reached a server, for one request: connections refused by
 servers that have just ended. More of them mean that the list of servers is stale."""
@@ -214,6 +215,8 @@
         """
         exchange.verdict = exchange.verdict.then(exc.verdict)
         now = trio.current_time()
+        if exc.reason in _REFUSALS and server.backoff.is_on(now):
+            self._observer.server_backoff(exchange.service)
         if exc.reason == "server-refused":
             self._servers.note_refusal(server)
         elif exc.reason == "answer-stalled":
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server.py
@@ -112,7 +112,8 @@
 
     def _hear_backoff(self, pause_s, request, sent_s, now):
         if not pause_s:
-            self.backoff.answered(sent_s)
+            if self.backoff.answered(sent_s):
+                log_event("server-backoff-ended", server=self.entry.id, told_to=request)
             return
         self.backoff.asked(pause_s, now)
         log_event(
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -407,6 +407,21 @@
         """
         return dict(Counter(server.entry.service for server in self._ready()))
 
+    def count_in_backoff(self):
+        """
+        Count the servers that take requests, but none in a pause that they asked for.
+
+        Returns
+        -------
+        dict of str to int
+            By service; 0 for those without any.
+        """
+        now = trio.current_time()
+        counts = dict.fromkeys(self.count_by_service(), 0)
+        for server in self._ready():
+            counts[server.entry.service] += server.backoff.is_on(now)
+        return counts
+
     def has_any(self):
         """Tell whether any server takes work."""
         return any(self._ready())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -324,3 +324,23 @@
         assert (await session.ask("/read/x", attempt="a2")).status == 200
 
     run_routed(main)
+
+
+def test_pauses_are_counted_and_shown():
+    # Guards against servers that ask for pauses without anybody on call seeing it.
+    async def main(session):
+        session.node.observer.load()
+        server = await session.add("s1", asking(1))
+        await session.add("s2", serving())
+        for number in range(3):
+            await session.ask("/read/x", attempt=f"a{number}")
+        text = session.node.render_metrics().decode()
+        assert 'gooseberryyoke_server_backoffs_total{service="s"} 1' in text
+        assert 'gooseberryyoke_servers_in_backoff{service="s"} 1' in text
+        await trio.sleep(1.1)
+        server.answer = serving()
+        await ask_often(session, "/read/x", 0.5, name="b")
+        text = session.node.render_metrics().decode()
+        assert 'gooseberryyoke_servers_in_backoff{service="s"} 0' in text
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -98,6 +98,11 @@
         (*CALL_LABELS, "cause"),
     ),
     Definition("retries_total", "Attempts after the first.", CALL_LABELS),
+    Definition(
+        "server_backoffs_total",
+        "Refusals by which a server asked this gateway for a pause.",
+        ("service",),
+    ),
     Definition(
         "messages_refused_total",
         "Messages on the internal port that were refused, by reason.",
@@ -120,6 +125,11 @@
         ("port",),
     ),
     Definition("servers", "Backend servers that take requests.", ("service",)),
+    Definition(
+        "servers_in_backoff",
+        "Of these, the servers that have asked this gateway for a pause.",
+        ("service",),
+    ),
     Definition(
         "group_limit_part",
         "Part of a group's places that is used; under 1 after it has formed anew.",
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
@@ -77,10 +77,17 @@
         ----------
         sent_s : float
             When its request was sent; one from before the pause says nothing.
+
+        Returns
+        -------
+        bool
+            Whether it shows that a pause is over.
         """
-        if sent_s >= self.until_s:
-            self._is_untried = False
-            self._trial_s = None
+        if not self._is_untried or sent_s < self.until_s:
+            return False
+        self._is_untried = False
+        self._trial_s = None
+        return True
 
     def sent(self, now):
         """Note at a time in seconds that a request goes to the server."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_backoff.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_backoff.py
@@ -38,7 +38,8 @@
     assert [backoff.room(at_s) for at_s in (1.0, 3.9, 4.0)] == [0, 0, 1]
     backoff.sent(4.1)
     assert backoff.room(4.2) == 0
-    backoff.answered(4.1)
+    assert backoff.answered(4.1)
+    assert not backoff.answered(4.1)
     assert backoff.room(4.3) == inf
 
 
@@ -46,7 +47,7 @@
     backoff = ServerBackoff()
     backoff.sent(0.5)
     backoff.asked(3.0, 1.0)
-    backoff.answered(0.5)
+    assert not backoff.answered(0.5)
     assert backoff.room(2.0) == 0
     assert backoff.room(4.0) == 1
 
