--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/node.py
@@ -8,6 +8,7 @@
 from gooseberryyoke_daemon.agent.runner import Runner
 from gooseberryyoke_daemon.agent.table import AttemptTable
 from gooseberryyoke_daemon.announcer import Announcer
+from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import SERVER_PATH
 
@@ -71,6 +72,8 @@
             self._server.address,
             _HEAD_TIMEOUT_S,
             _ANSWER_BYTES,
+            self._heard_server,
+            HeaderNames(),
         )
         async with open_nursery() as nursery:
             self._table = AttemptTable(
@@ -96,6 +99,21 @@
         with move_on_after(self._settings.linger_s):
             await self._table.all_read()
 
+    def _heard_server(self, report, attempt):
+        """Take what an answer of the backend server says of itself."""
+        told = {"server": self._server.name, "told_to": attempt.order.attempt}
+        now, backoff = self._clock.now(), self._table.backoff
+        if report.backoff_s:
+            backoff.asked(report.backoff_s, now)
+            asked_ms = round(1000 * report.backoff_s)
+            left_ms = round(1000 * (backoff.until_s - now))
+            log_event("server-backoff", asked_ms=asked_ms, left_ms=left_ms, **told)
+        elif backoff.answered(attempt.started_s):
+            log_event("server-backoff-ended", **told)
+        if report.is_leaving:
+            self._reporter.heard_leaving()
+            self._server_changed()
+
     def _server_changed(self):
         self._table.leaving = self._stopping or self._reporter.leaving
         self._announcer.notify()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/reporter.py
@@ -31,13 +31,12 @@
     ----------
     report : dict
         The latest report, empty before the first.
-    leaving : bool
-        Whether the server has said that it takes no new work.
     """
 
     def __init__(self, client, address, path, interval_s, clock):
         self.report = {}
-        self.leaving = False
+        self._reported_leaving = False
+        self._answered_leaving = False
         self.reachable = path is None
         self._client = client
         self._address = address
@@ -46,11 +45,25 @@
         self._clock = clock
         self._taken_s = clock.now()
 
+    @property
+    def leaving(self):
+        """Whether the server has said, by a report or an answer, that it leaves."""
+        return self._reported_leaving or self._answered_leaving
+
     @property
     def age_s(self):
         """Age of the report, in seconds."""
         return self._clock.now() - self._taken_s
 
+    def heard_leaving(self):
+        """
+        Note that the server has said in an answer that it leaves.
+
+        That holds until it can't be reached, as its life has ended. A server without
+        reports is left to its own end: nothing would tell when another life begins.
+        """
+        self._answered_leaving = self._path is not None
+
     async def run(self, on_change):
         """
         Poll until cancelled.
@@ -76,7 +89,7 @@
                 "GET", self._address, self._path, timeout_s=self._interval_s * 4
             )
         except WireError:
-            self.reachable = False
+            self.reachable = self._answered_leaving = False
             return
         # Entries refuse an announcement whose report is malformed. The server
         # would seem silent; told as unreachable it shows in log and metrics.
@@ -87,5 +100,5 @@
         )
         if self.reachable:
             self.report = reply.payload
-            self.leaving = bool(reply.payload.get("leaving", False))
+            self._reported_leaving = bool(reply.payload.get("leaving", False))
             self._taken_s = self._clock.now()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -5,6 +5,7 @@
 
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.server_report import read_report
 from gooseberryyoke_daemon.wire import WireError
 
 __all__ = ["Runner"]
@@ -32,9 +33,14 @@
         It bounds work that can't be cancelled because it may not be repeated.
     answer_bytes : int
         Largest answer that is kept.
+    hear : callable
+        Told the `ServerReport` of each answer, and the attempt.
+    names : HeaderNames
     """
 
-    def __init__(self, client, address, head_timeout_s, answer_bytes):
+    def __init__(self, client, address, head_timeout_s, answer_bytes, hear, names):
+        self._hear = hear
+        self._names = names
         self._client = client
         self._address = address
         self._head_timeout_s = head_timeout_s
@@ -93,6 +99,8 @@
             repeatable=attempt.order.repeatable,
             fresh=not attempt.order.repeatable,
         ) as reply:
+            report = read_report(reply.status, reply.headers, self._names)
+            self._hear(report, attempt)
             headers = [pair for pair in reply.headers if _is_passed_on(pair[0])]
             attempt.log.head(reply.status, headers)
             attempt.notify()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/table.py
@@ -6,6 +6,7 @@
 
 from gooseberryyoke.claim import AttemptLedger, AttemptState
 from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke.placement import ServerBackoff
 from gooseberryyoke_daemon.agent.attempt import Attempt
 from gooseberryyoke_daemon.logs import log_event
 
@@ -27,6 +28,10 @@
 """How long the answer to a repeatable request is kept, in seconds."""
 
 
+_LEAST_BACKOFF_S = 0.1
+"""While one attempt tries a server whose pause is over, in seconds."""
+
+
 class AttemptTable:
     """
     Takes attempts, bars them, and keeps their answers for a while.
@@ -46,6 +51,8 @@
     ----------
     leaving : bool
         Whether new attempts are refused.
+    backoff : ServerBackoff
+        Pauses that the backend server has asked for.
     bundle_version : int
         Highest version that any entry has told.
     """
@@ -53,6 +60,7 @@
     def __init__(self, incarnation, runner, nursery, clock, max_running):
         self.incarnation = incarnation
         self.leaving = False
+        self.backoff = ServerBackoff()
         self.bundle_version = 0
         self._runner = runner
         self._nursery = nursery
@@ -91,6 +99,7 @@
         self._ledger.take(order.attempt, order.incarnation, now).unwrap()
         self.hear_bundle(order.bundle_version)
         attempt = Attempt(order, now)
+        self.backoff.sent(now)
         self._attempts[order.attempt] = attempt
         log_event("attempt-taken", attempt=order.attempt, entry=order.entry)
         self._nursery.start_soon(self._run, attempt)
@@ -216,6 +225,7 @@
             attempt.log.abort(Verdict.MAY_HAVE_RUN, "internal-error", repr(exc))
             attempt.notify()
         attempt.ended_s = self._clock.now()
+        self.backoff.ended(attempt.started_s)
         self._ledger.finish(attempt.order.attempt, None, attempt.ended_s)
         self._wake()
 
@@ -237,6 +247,11 @@
             return _refuse(409, "stale-order", "ordered too long ago, or clocks differ")
         if self.leaving:
             return _refuse(503, "leaving", "the backend server takes no new work")
+        now = self._clock.now()
+        if self.backoff.room(now) < 1:
+            left_s = max(_LEAST_BACKOFF_S, self.backoff.until_s - now)
+            detail = "the backend server asked for a pause"
+            return _refuse(503, "server-paused", detail, left_s)
         if order.bundle_version < self.bundle_version:
             # An entry cut off from the replicas would go on under an old bundle.
             detail = f"bundle {order.bundle_version}, {self.bundle_version} is known"
@@ -254,5 +269,5 @@
     return Refusal(Verdict.MAY_HAVE_RUN, 409, "taken", detail)
 
 
-def _refuse(status, reason, detail):
-    return Refusal(Verdict.NOT_RUN, status, reason, detail)
+def _refuse(status, reason, detail, retry_after_s=None):
+    return Refusal(Verdict.NOT_RUN, status, reason, detail, retry_after_s)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_table.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_table.py
@@ -1,6 +1,6 @@
 from contextlib import asynccontextmanager
 
-from returns.result import Failure
+from returns.result import Failure, Success
 from trio import open_nursery, run, sleep, sleep_forever
 from trio.testing import MockClock
 
@@ -262,3 +262,27 @@
             assert whole.log.last.count == 1
 
     mocked(body)
+
+
+def test_orders_in_a_pause_of_the_server_are_refused_and_one_tries_it_afterwards():
+    # Guards against work at a server that has asked for a pause, and against all that
+    # waits going there at once after it.
+    async def body():
+        runner = FakeRunner(busy_s=1.0)
+        async with open_table(runner) as table:
+            table.backoff.asked(3.0, 0.0)
+            refusal = table.take(order("a1")).failure()
+            assert (refusal.reason, refusal.verdict) == (
+                "server-paused",
+                Verdict.NOT_RUN,
+            )
+            assert refusal.retry_after_s == 3.0
+            await sleep(3.0)
+            assert isinstance(table.take(order("a2", ordered_s=3.0)), Success)
+            second = table.take(order("a3", ordered_s=3.0))
+            assert reason(second) == ("server-paused", Verdict.NOT_RUN)
+            await sleep(1.1)
+            assert isinstance(table.take(order("a4", ordered_s=4.0)), Success)
+            assert runner.runs == ["a2"]
+
+    mocked(body)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -14,7 +14,15 @@
 
 # Refusals that say nothing about the health of the backend server.
 _NOT_A_FAULT = frozenset(
-    ["agent-full", "barred", "leaving", "old-bundle", "stale-order", "taken"]
+    [
+        "agent-full",
+        "barred",
+        "leaving",
+        "old-bundle",
+        "server-paused",
+        "stale-order",
+        "taken",
+    ]
 )
 # Answers of a server that may be out of order, while another one isn't.
 _SERVER_DOWN = frozenset([502, 503, 504])
@@ -111,6 +119,8 @@
             self._fleet.failed(server, number, now)
         if reason == "leaving":
             self._fleet.left(server)
+        if reason == "server-paused":
+            self._fleet.paused(server, now + (result.failure().retry_after_s or 0.0))
 
 
 def _server_down(answer):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -7,7 +7,7 @@
 
 __all__ = ["Retry"]
 
-_REROUTED = frozenset(["leaving", "agent-full", "other-incarnation"])
+_REROUTED = frozenset(["leaving", "agent-full", "other-incarnation", "server-paused"])
 _LEFT_TO_OTHERS = frozenset([CONTENDED, NO_MAJORITY, "old-bundle"])
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -9,7 +9,7 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke.routing import RouteKind
 from gooseberryyoke_daemon.gateway.headers import end_to_end, without
-from gooseberryyoke_daemon.gateway.report import read_report
+from gooseberryyoke_daemon.server_report import read_report
 from gooseberryyoke_daemon.wire import Request, WireError
 
 __all__ = ["Call", "CallFailed", "ServerCalls"]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_report.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tests/test_server_report.py
@@ -1,7 +1,7 @@
 import pytest
 
-from gooseberryyoke_daemon.gateway.report import ServerReport, read_report
 from gooseberryyoke_daemon.header_names import HeaderNames
+from gooseberryyoke_daemon.server_report import ServerReport, read_report
 
 NAMES = HeaderNames(limit=("limit", "x-limit"), leaving=("leaving", "x-leaving"))
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/fleet.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/fleet.py
@@ -140,6 +140,20 @@
             view.leaving = True
             self._put_in(view)
 
+    def paused(self, server_id, until_s):
+        """
+        Note that a server wants nothing for a while, as its agent's refusal says.
+
+        Parameters
+        ----------
+        server_id : str
+        until_s : float
+            A pause that ends before an earlier one changes nothing.
+        """
+        view = self._views.get(server_id)
+        if view is not None:
+            view.paused_until_s = max(view.paused_until_s, until_s)
+
     def removed(self, server_id):
         """
         Forget a server.
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/tests/test_choose.py
@@ -197,3 +197,17 @@
     fleet.reported("s1", urgent, NOW)
     assert pick(fleet, DEMAND.replace(priority=1)) == "s0"
     assert pick(fleet, DEMAND.replace(priority=5)) == "s1"
+
+
+def test_a_server_in_a_pause_is_not_chosen_and_the_last_one_is_not_either():
+    # Guards against attempts at a server that has asked for a pause.
+    fleet = make_fleet(2)
+    fleet.paused("s0", NOW + 3.0)
+    fleet.paused("s0", NOW + 1.0)
+    assert picks(fleet) == {"s1"}
+    fleet.paused("s1", NOW + 2.0)
+    refusal = refused(fleet)
+    assert (refusal.reason, refusal.verdict) == ("servers-paused", Verdict.NOT_RUN)
+    assert refusal.retry_after_s == 2.0
+    assert pick(fleet, now=NOW + 2.0) == "s1"
+    assert picks(make_fleet(2)) == {"s0", "s1"}
--- a/packages/gooseberryyoke/src/gooseberryyoke/balance/view.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/balance/view.py
@@ -65,6 +65,7 @@
         "pace",
         "awaited_tokens",
         "shunned_until_s",
+        "paused_until_s",
         "_failures",
         "_finishes",
         "_crowd",
@@ -96,6 +97,7 @@
         self.pace = Pace()
         self.awaited_tokens = 0
         self.shunned_until_s = float("-inf")
+        self.paused_until_s = float("-inf")
         self._failures = 0
         self._finishes = deque(maxlen=FINISHES_KEPT)
         self._crowd = Crowd() if crowd is None else crowd
--- a/tools/docs/tests/test_operations_page.py
+++ b/tools/docs/tests/test_operations_page.py
@@ -90,6 +90,17 @@
         await session.ask("/draw/x", attempt="a2")
 
 
+async def _paused(session):
+    async def asks(request):
+        headers = [(NAMES.not_run, "1"), ("retry-after", "9")]
+        return Response(503, headers, b"")
+
+    await session.add("i-1", asks)
+    await session.ask("/read/x", attempt="a0")
+    await trio.sleep(7.0)
+    assert (await session.ask("/read/x", attempt="a4")).status == 503
+
+
 async def _older_table(session):
     log_event("replicas-lost", level="warning", held_version=1, why="no majority")
     await trio.sleep(0.2)
@@ -108,6 +119,7 @@
         ("a1", _overloaded, {"target_s": 0.4}),
         ("a2", _broken, {"max_attempts": 2}),
         ("a3", _older_table, {}),
+        ("a4", _paused, {}),
     ],
 )
 def test_the_page_shows_what_the_program_logs(request_id, scenario, changes):
