--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -7,6 +7,7 @@
 
 from gooseberryyoke.membership.server_book import ServerBook
 from gooseberryyoke.placement import (
+    LONGEST_BACKOFF_S,
     SHARE_LIFE_S,
     USUAL_FIRST_S,
     GroupPulse,
@@ -31,6 +32,7 @@
 may be lost."""
 _LEAST_RATE = 0.02
 """Requests a second of a service whose servers' limits leave this gateway no part."""
+_LONGEST_BACKOFF_MS = round(1000 * LONGEST_BACKOFF_S)
 _USUAL_ANSWER_S = 2.0
 """A draft of 28 events at a busy engine."""
 
@@ -369,6 +371,43 @@
             if id in self._by_id:
                 self._by_id[id].limit.hear(rate, now - age_ms / 1000)
 
+    def own_backoffs(self):
+        """
+        List the pauses that servers have asked this gateway for.
+
+        Returns
+        -------
+        dict of str to float
+            By server, the end on trio's clock.
+        """
+        now = trio.current_time()
+        return {
+            id: server.backoff.until_s
+            for id, server in self._by_id.items()
+            if server.backoff.is_on(now)
+        }
+
+    def take_backoffs(self, backoffs):
+        """
+        Take the pauses that servers have asked another gateway for.
+
+        Parameters
+        ----------
+        backoffs : dict of str to int
+            By server, what was left of each when it was told, in milliseconds.
+
+        Raises
+        ------
+        ValueError
+            If one is no time within bounds.
+        """
+        now = trio.current_time()
+        for id, left_ms in backoffs.items():
+            if type(left_ms) is not int or not 0 <= left_ms <= _LONGEST_BACKOFF_MS:
+                raise ValueError(f"pause {left_ms!r} is no time within bounds")
+            if id in self._by_id:
+                self._by_id[id].backoff.asked_elsewhere(left_ms / 1000, now)
+
     def own_counts(self):
         """
         Count this gateway's requests.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -16,8 +16,8 @@
 """Between two datagrams. A gateway begins some ten requests a second; without news of
 the others, four gateways send to the same free place."""
 _TELL_ALL_S = 1.0
-_MOST_LIMITS = 100
-"""In one datagram."""
+_MOST_WORDS = 100
+"""Of servers, in one piece of news."""
 _HEARD_S = 1.2
 """A relay sends news at least each second."""
 _DATAGRAM_BYTES = 1200
@@ -48,27 +48,33 @@
         Servers that are not named have none.
     limits : dict of str to list
         See `Servers.told_limits`.
+    backoffs : dict of str to int
+        See `Servers.take_backoffs`.
     """
 
-    __slots__ = ("gateway", "counts", "is_all", "limits")
+    __slots__ = ("gateway", "counts", "is_all", "limits", "backoffs")
 
-    def __init__(self, gateway, counts, is_all, limits):
+    def __init__(self, gateway, counts, is_all, limits, backoffs):
         self.gateway = gateway
         self.counts = counts
         self.is_all = is_all
         self.limits = limits
+        self.backoffs = backoffs
 
     @classmethod
     def from_json(cls, packed):
         """Undo `as_list`; raises ValueError or TypeError if it has another form."""
-        gateway, counts, is_all, limits = packed
-        return cls(str(gateway), dict(counts), bool(is_all), dict(limits))
+        gateway, counts, is_all, limits, backoffs = packed
+        words = dict(limits), dict(backoffs)
+        return cls(str(gateway), dict(counts), bool(is_all), *words)
 
     def followed_by(self, later):
         """Give what this and a later piece of news tell together."""
         counts = later.counts if later.is_all else {**self.counts, **later.counts}
         is_all = self.is_all or later.is_all
-        return _News(self.gateway, counts, is_all, {**self.limits, **later.limits})
+        limits = {**self.limits, **later.limits}
+        backoffs = {**self.backoffs, **later.backoffs}
+        return _News(self.gateway, counts, is_all, limits, backoffs)
 
 
 class LoadSharing:
@@ -96,6 +102,7 @@
         self._servers = servers
         self._endpoint = endpoint
         self._told = {}
+        self._told_backoffs = {}
         self._gathered = {}
         self._heard_s = {}
 
@@ -130,10 +137,22 @@
         self._told = counts
         name = self._presence().name
         if changed or is_all:
-            yield _News(name, changed, is_all, {})
-        limits = list(self._servers.told_limits().items()) if is_all else []
-        for first in range(0, len(limits), _MOST_LIMITS):
-            yield _News(name, {}, False, dict(limits[first : first + _MOST_LIMITS]))
+            yield _News(name, changed, is_all, {}, {})
+        for limits in _parts(self._servers.told_limits() if is_all else {}):
+            yield _News(name, {}, False, limits, {})
+        for backoffs in _parts(self._new_backoffs(is_all)):
+            yield _News(name, {}, False, {}, backoffs)
+
+    def _new_backoffs(self, is_all):
+        """Give what is left of pauses, of those that have just begun or of all."""
+        ends_s, told = self._servers.own_backoffs(), self._told_backoffs
+        self._told_backoffs = ends_s
+        now = trio.current_time()
+        return {
+            id: round(1000 * (end_s - now))
+            for id, end_s in ends_s.items()
+            if is_all or told.get(id) != end_s
+        }
 
     def _changed(self, counts):
         changed = {
@@ -202,10 +221,18 @@
     def _take(self, news, hop):
         self._servers.take_shares(news.gateway, news.counts, news.is_all)
         self._servers.take_limits(news.limits)
+        self._servers.take_backoffs(news.backoffs)
         if hop == _Hop.OWN:
             self._gather(news)
 
 
+def _parts(words):
+    """Divide words on servers into pieces of bounded length."""
+    pairs = list(words.items())
+    for first in range(0, len(pairs), _MOST_WORDS):
+        yield dict(pairs[first : first + _MOST_WORDS])
+
+
 def _datagrams(hop, sender, news):
     """Pack news into datagrams of bounded length, each of whole pieces."""
     packed, length_bytes = [], 0
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
@@ -1,3 +1,5 @@
+from math import inf
+
 import pytest
 import trio
 import trio.testing
@@ -178,3 +180,47 @@
         assert _limit_of(gateways[0]).named_rate is None
 
     _with_gateways(main, 1)
+
+
+def _backoff_of(servers):
+    (server,) = servers.of_service("s")
+    return server.backoff
+
+
+def test_gateways_tell_each_other_of_a_server_s_pause():
+    # Guards against each gateway meeting a sick server first while others are free.
+    async def main(network, gateways):
+        now = trio.current_time()
+        asked, *others = (_backoff_of(servers) for servers in gateways)
+        asked.asked(3.0, now)
+        await trio.sleep(0.2)
+        now = trio.current_time()
+        assert [backoff.is_on_elsewhere(now) for backoff in others] == [True] * 2
+        assert [backoff.room(now) for backoff in others] == [inf] * 2
+        await trio.sleep(3.2)
+        now = trio.current_time()
+        assert not any(backoff.is_on_elsewhere(now) for backoff in others)
+
+    _with_gateways(main)
+
+
+def test_an_answer_here_counts_more_than_a_pause_elsewhere():
+    # Guards against a sound server left idle for what it asked of one gateway.
+    async def main(network, gateways):
+        asked, other, _ = (_backoff_of(servers) for servers in gateways)
+        asked.asked(3.0, trio.current_time())
+        await trio.sleep(0.2)
+        other.answered(trio.current_time())
+        assert not other.is_on_elsewhere(trio.current_time())
+
+    _with_gateways(main)
+
+
+@pytest.mark.parametrize("left_ms", [-1, 2.5, "9", None, 600_001])
+def test_malformed_pauses_of_other_gateways_change_nothing(left_ms):
+    async def main(network, gateways):
+        with pytest.raises(ValueError):
+            gateways[0].take_backoffs({"s1": left_ms})
+        assert not _backoff_of(gateways[0]).is_on_elsewhere(trio.current_time())
+
+    _with_gateways(main, 1)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -1,6 +1,10 @@
 """Which server takes a request, and who waits when all are full."""
 
-from gooseberryyoke.placement.backoff import ServerBackoff, read_backoff
+from gooseberryyoke.placement.backoff import (
+    LONGEST_BACKOFF_S,
+    ServerBackoff,
+    read_backoff,
+)
 from gooseberryyoke.placement.choose import choose_server, usual_pace
 from gooseberryyoke.placement.health import ServerHealth
 from gooseberryyoke.placement.load import SHARE_LIFE_S, ServerLoad
@@ -13,6 +17,7 @@
 from gooseberryyoke.placement.waiting import WaitingLine
 
 __all__ = [
+    "LONGEST_BACKOFF_S",
     "SHARE_LIFE_S",
     "USUAL_FIRST_S",
     "GroupPulse",
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
@@ -2,9 +2,9 @@
 
 from math import isfinite
 
-__all__ = ["ServerBackoff", "read_backoff"]
+__all__ = ["LONGEST_BACKOFF_S", "ServerBackoff", "read_backoff"]
 
-_LONGEST_S = 600.0
+LONGEST_BACKOFF_S = 600.0
 """A word that holds for longer than most servers live would leave one out for good."""
 
 
@@ -31,7 +31,7 @@
         except ValueError:
             continue
         if isfinite(seconds) and seconds >= 0:
-            pauses.append(min(seconds, _LONGEST_S))
+            pauses.append(min(seconds, LONGEST_BACKOFF_S))
     return max(pauses, default=None)
 
 
@@ -45,10 +45,18 @@
         End of the pause.
     """
 
-    __slots__ = ("until_s", "_is_untried", "_trial_s")
+    __slots__ = (
+        "until_s",
+        "_elsewhere_until_s",
+        "_elsewhere_s",
+        "_is_untried",
+        "_trial_s",
+    )
 
     def __init__(self):
         self.until_s = float("-inf")
+        self._elsewhere_until_s = float("-inf")
+        self._elsewhere_s = float("-inf")
         self._is_untried = False
         self._trial_s = None
 
@@ -69,6 +77,33 @@
         self._is_untried = True
         self._trial_s = None
 
+    def asked_elsewhere(self, pause_s, now):
+        """
+        Take a pause that the server has asked another entry for.
+
+        Parameters
+        ----------
+        pause_s, now : float
+            In seconds.
+        """
+        self._elsewhere_until_s = max(self._elsewhere_until_s, now + pause_s)
+        self._elsewhere_s = now
+
+    def is_on_elsewhere(self, now):
+        """
+        Tell whether another entry keeps a pause, and no answer here speaks against it.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return now < self._elsewhere_until_s
+
     def answered(self, sent_s):
         """
         Note an answer that asks for no pause.
@@ -83,6 +118,8 @@
         bool
             Whether it shows that a pause is over.
         """
+        if sent_s >= self._elsewhere_s:
+            self._elsewhere_until_s = float("-inf")
         if not self._is_untried or sent_s < self.until_s:
             return False
         self._is_untried = False
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/choose.py
@@ -15,6 +15,8 @@
 """Requests that a server of another data centre counts as having more. Keeps two thirds
 of the events between data centres off their links while near servers have room; at most
 one request deep, so that a data centre with more callers still spreads them."""
+_MOST_HINTED = 0.4
+"""Part of the servers."""
 
 
 def choose_server(candidates, data_centre, now, rng):
@@ -41,21 +43,38 @@
     -----
     Shunned servers, and those of groups that don't go on, are chosen only if all are
     so: a request that is refused for sure is worth less than one that may be answered.
+    A server that has asked another entry for a pause is chosen once the others are
+    full, unless many have.
     """
     candidates = [server for server in candidates if room(server, now) >= 1]
     going = [server for server in candidates if goes_on(server, now)] or candidates
     pool = sound_servers(going, now) or going
     usual_s = usual_pace(pool, now)
+    hinted = _hinted(pool, now)
 
     def order(server):
         is_far = server.entry.data_centre != data_centre
         count = server.load.expected(now) + 1 + _FAR_REQUESTS * is_far
+        if server in hinted:
+            # After those with room, before those that are full.
+            count = server.entry.slots + (1 + count / server.entry.slots) / 2
         taken = count / max(1, server.entry.slots)
         return (round(taken * _slowness(server, usual_s, now), 1), rng.random())
 
     return min(pool, key=order, default=None)
 
 
+def _hinted(servers, now):
+    """
+    Give the servers that have asked other entries for a pause.
+
+    None if these are many: then there is more work than servers do, and it tells
+    nothing of any one of them.
+    """
+    hinted = {server for server in servers if server.backoff.is_on_elsewhere(now)}
+    return hinted if len(hinted) <= len(servers) * _MOST_HINTED else set()
+
+
 def usual_pace(servers, now):
     """
     Tell how soon after getting a place an answer begins.
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -90,6 +90,25 @@
     assert not health.is_shunned(now + 0.2)
 
 
+def test_a_server_in_another_entry_s_pause_is_chosen_once_the_others_are_full():
+    # Guards against a second entry that meets a sick server first, and against places
+    # left empty because of it.
+    told = Candidate("x")
+    told.backoff.asked_elsewhere(3.0, 0.0)
+    busy, full = ([Candidate(id, own) for id in "yz"] for own in (5, 6))
+    assert choose(told, *busy) != "x"
+    assert choose(told, *full) == "x"
+    assert choose(told, *busy, now=3.0) == "x"
+
+
+def test_pauses_of_many_servers_elsewhere_tell_nothing_of_one():
+    # Guards against the few others being crowded while all turn a part away.
+    servers = [Candidate(id, own) for id, own in (("w", 0), ("x", 1), ("y", 2))]
+    for server in servers[:2]:
+        server.backoff.asked_elsewhere(3.0, 0.0)
+    assert choose(*servers, Candidate("z", 2)) == "w"
+
+
 def test_if_all_are_left_out_one_is_tried_all_the_same():
     sick = Candidate("x")
     sick.health.failed(0.0)
