--- a/examples/demonstration/deployment.py
+++ b/examples/demonstration/deployment.py
@@ -127,6 +127,42 @@
             counts[backend.name] = reply.payload["executions"]
         return counts
 
+    async def pauses(self, name):
+        """
+        Read what an engine asked for by pauses, and what arrived there.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        dict
+            ``asked``, pairs of the time of the answer and the pause, and
+            ``arrivals``, all in seconds of Unix time.
+        """
+        reply = await self._client.json(
+            "GET", self._backend(name).address, "/pauses", timeout_s=10
+        )
+        return reply.payload
+
+    async def turn_away(self, name, for_s, pause_s):
+        """
+        Let an engine turn requests away and ask for pauses.
+
+        Parameters
+        ----------
+        name : str
+        for_s, pause_s : float
+            How long it does, and the pause that each answer asks for.
+        """
+        body = {"for_s": for_s, "pause_s": pause_s}
+        address = self._backend(name).address
+        await self._client.json("POST", address, "/pauses", body, timeout_s=10)
+
+    def _backend(self, name):
+        return next(backend for backend in self.backends if backend.name == name)
+
     async def _operate(self, *args):
         command = [binary("gooseberryyoke"), *map(str, args), "--json"]
         done = await trio.run_process(
--- a/examples/fakes/engine.py
+++ b/examples/fakes/engine.py
@@ -7,9 +7,11 @@
 
 from examples.fakes.batch import Batch, Sequence
 from examples.fakes.orders import Orders
+from examples.fakes.pauses import Pauses
 from examples.fakes.prefix_cache import PrefixCache
 from examples.fakes.runner import run_fake
 from examples.fakes.text import answer_words
+from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.wire import Response, json_response
 
 __all__ = ["FakeEngine"]
@@ -49,11 +51,14 @@
         self._orders = orders
         self._cache = PrefixCache()
         self._cancelled = 0
+        self._pauses = Pauses()
         self._routes = {
             ("GET", "/load"): self._load,
             ("GET", "/executions"): self._show_executions,
             ("GET", "/cache-events"): self._feed,
             ("POST", "/orders"): self._orders.take,
+            ("POST", "/pauses"): self._pauses.begin,
+            ("GET", "/pauses"): self._pauses.show,
         }
 
     async def run(self):
@@ -75,12 +80,20 @@
         """
         key = (request.method, request.path)
         if key == ("POST", "/v1/chat/completions"):
-            return await self._complete(request)
+            response = self._pauses.refusal() or await self._complete(request)
+            return self._marked(response)
         route = self._routes.get(key)
         if route is None:
             return json_response(404, {"error": f"no route {request.path}"})
         return route(request)
 
+    def _marked(self, response):
+        """Say in each answer that this engine leaves, if it does."""
+        if not self.is_leaving:
+            return response
+        headers = [*response.headers, *((name, "1") for name in HeaderNames().leaving)]
+        return Response(response.status, headers, response.body)
+
     def _load(self, request):
         return json_response(
             200,
--- a/examples/fakes/tests/test_fakes.py
+++ b/examples/fakes/tests/test_fakes.py
@@ -57,6 +57,11 @@
     }
 
 
+def _completion(text, headers=()):
+    body = orjson.dumps(chat(text))
+    return Request("POST", "/v1/chat/completions", headers, body)
+
+
 async def ask(client, body, headers=()):
     request = Request("POST", "/v1/chat/completions", headers, orjson.dumps(body))
     async with client.open(SERVER, request) as reply:
@@ -181,3 +186,28 @@
             process.kill()
 
     trio.run(main)
+
+
+def test_an_engine_in_trouble_asks_for_pauses_and_tells_what_came():
+    async def main(fake, client):
+        body = {"for_s": 60.0, "pause_s": 2.5}
+        reply = await client.json("POST", SERVER, "/pauses", body)
+        assert reply.status == 200
+        async with client.open(SERVER, _completion("one two")) as answer:
+            assert (answer.status, answer.header("retry-after")) == (503, "2.5")
+        told = (await client.json("GET", SERVER, "/pauses")).payload
+        assert [pause_s for _, pause_s in told["asked"]] == [2.5]
+        assert len(told["arrivals"]) == 1
+        assert (await client.json("POST", SERVER, "/pauses", {})).status == 400
+
+    serve(main, engine)
+
+
+def test_an_engine_that_leaves_says_so_in_its_answers():
+    async def main(fake, client):
+        fake.is_leaving = True
+        async with client.open(SERVER, _completion("one two")) as answer:
+            assert answer.header("gooseberryyoke-leaving") == "1"
+            await answer.read()
+
+    serve(main, engine)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,8 +12,10 @@
     "Reset",
     "Roll",
     "Term",
+    "TurnAway",
     "describe",
     "draw_faults",
+    "draw_refusals",
 ]
 
 _FAULTS_A_SECOND = 0.8
@@ -85,6 +87,17 @@
         self.for_s = for_s
 
 
+class TurnAway(Record):
+    """Let an engine turn requests away and ask for pauses."""
+
+    __slots__ = ("name", "for_s", "pause_s")
+
+    def __init__(self, name, for_s, pause_s):
+        self.name = name
+        self.for_s = for_s
+        self.pause_s = pause_s
+
+
 class Roll(Record):
     """Roll the next version of the bundle."""
 
@@ -131,6 +144,39 @@
     return sorted(found, key=lambda item: item[0])
 
 
+def draw_refusals(rng, engines, seconds):
+    """
+    Draw when engines turn work away and ask for pauses.
+
+    Parameters
+    ----------
+    rng : random.Random
+    engines : list of str
+    seconds : float
+        Of the run; all pauses are over before its end.
+
+    Returns
+    -------
+    list of (float, TurnAway)
+        As of `draw_faults`; some engine is always left.
+    """
+    names = rng.sample(engines, rng.randint(1, len(engines) - 1))
+    return sorted(
+        (
+            (
+                rng.uniform(0.05, 0.4) * seconds,
+                TurnAway(
+                    name,
+                    round(rng.uniform(0.1, 0.25) * seconds, 2),
+                    round(rng.uniform(0.1, 0.3) * seconds, 2),
+                ),
+            )
+            for name in names
+        ),
+        key=lambda item: item[0],
+    )
+
+
 def _draw(rng, entries, agents, backends):
     kind = rng.choice((Kill, Kill, Pause, Term, Reset, Cut, Delay))
     own = rng.choice((*entries, *entries, *agents))
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatchmethod
 from random import Random
+from time import time
 
 import trio
 
@@ -10,6 +11,7 @@
 from examples.demonstration.profile import PROFILES
 from examples.demonstration.report import Point, check_outcomes
 from examples.demonstration.workload import make_jobs
+from gooseberryyoke_daemon.testing.arrivals import ArrivalCheck
 from gooseberryyoke_daemon.wire import HttpClient, TcpNetwork, WireError
 from tools.soak.faults import (
     Cut,
@@ -19,8 +21,10 @@
     Reset,
     Roll,
     Term,
+    TurnAway,
     describe,
     draw_faults,
+    draw_refusals,
 )
 from tools.soak.proxy import Proxy
 
@@ -37,6 +41,8 @@
 _ROLL_TIMEOUT_S = 5.0
 _NEXT_VERSION = 2
 _OK = 200
+_RECOVERED_S = 1.0
+"""After a fault, until what it held back has arrived."""
 _UNPROMISED = ("is answered",)
 """Points of `check_outcomes` that nobody promises while a majority of the replicas is
 down. They are checked of the requests that are sent after the faults."""
@@ -95,6 +101,7 @@
         self._down = set()
         self._client = HttpClient(TcpNetwork())
         self._accepted = 1
+        self._harmed = []
         self._started_s = 0.0
         self.result = SoakResult()
 
@@ -142,6 +149,9 @@
         backends = [backend.name for backend in self._deployment.backends]
         agents = [f"agent-{name}" for name in backends]
         faults = draw_faults(self._rng, entries, agents, backends, self._seconds)
+        engines = [b.name for b in self._deployment.backends if b.kind == "engine"]
+        rng = Random(f"{self._seed} refusals")
+        faults += draw_refusals(rng, engines, self._seconds)
         async with trio.open_nursery() as nursery:
             for at_s, fault in faults:
                 nursery.start_soon(self._apply_at, at_s, fault)
@@ -168,7 +178,10 @@
 
     async def _apply_at(self, at_s, fault):
         await trio.sleep_until(self._started_s + at_s)
+        begun_s = time()
         done = await self._apply(fault)
+        if not isinstance(fault, Roll | TurnAway):
+            self._harmed.append((fault.name, begun_s, time() + _RECOVERED_S))
         note = describe(fault) if done is None else f"{describe(fault)}: {done}"
         self.result.events.append(f"{at_s:6.2f} s  {note}")
 
@@ -219,6 +232,10 @@
         self._deployment.restart(name)
         self._down.discard(name)
 
+    @_apply.register
+    async def _(self, fault: TurnAway):
+        await self._deployment.turn_away(fault.name, fault.for_s, fault.pause_s)
+
     def _proxy(self, name):
         return self._proxies[self._addresses()[name]]
 
@@ -279,6 +296,30 @@
             for point in check_outcomes(calm, executions)
         ]
         self.result.points.append(await self._check_version())
+        self.result.points.append(await self._check_pauses())
+
+    async def _check_pauses(self):
+        """Check pauses that no fault on the engine or its agent has touched."""
+        faults = []
+        for backend in self._deployment.backends:
+            if backend.kind != "engine":
+                continue
+            told = await self._deployment.pauses(backend.name)
+            check = ArrivalCheck()
+            for at_s in told["arrivals"]:
+                check.arrived(at_s)
+            for at_s, pause_s in told["asked"]:
+                if not self._is_harmed(backend.name, at_s, at_s + pause_s):
+                    check.asked_pause(at_s, pause_s)
+            faults += [f"{backend.name}: {fault}" for fault in check.faults()]
+        return Point("an engine gets no more in a pause that it asked for", faults)
+
+    def _is_harmed(self, backend, start_s, end_s):
+        names = (backend, f"agent-{backend}")
+        return any(
+            name in names and begun_s < end_s and start_s < over_s
+            for name, begun_s, over_s in self._harmed
+        )
 
     async def _check_version(self):
         faults = []
