--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/peers.py
@@ -0,0 +1,171 @@
+"""What the gateways tell each other of the backend servers."""
+
+from math import inf
+
+import trio
+
+from gooseberryyoke.placement import LONGEST_BACKOFF_S, SHARE_LIFE_S
+
+__all__ = ["Peers"]
+
+_LONGEST_BACKOFF_MS = round(1000 * LONGEST_BACKOFF_S)
+_TOLD_FOR_S = 5.0
+"""For which other gateways are told again of a server's word on its limit: datagrams
+may be lost."""
+
+
+class Peers:
+    """
+    Takes what other gateways tell, and gives what they are to be told.
+
+    Parameters
+    ----------
+    by_id : dict of str to Server
+        The servers that are known, kept up to date by its owner.
+
+    Attributes
+    ----------
+    count : int
+        Other gateways that share the servers.
+    """
+
+    __slots__ = ("count", "_by_id", "_heard_s")
+
+    def __init__(self, by_id):
+        self.count = 0
+        self._by_id = by_id
+        self._heard_s = {}
+
+    def expect(self, count):
+        """
+        Take the number of other gateways that share the servers.
+
+        Parameters
+        ----------
+        count : int
+        """
+        self.count = count
+        self._note_unheard()
+
+    def _note_unheard(self):
+        now = trio.current_time()
+        heard = sum(now - at < SHARE_LIFE_S for at in self._heard_s.values())
+        for server in self._by_id.values():
+            server.load.unheard = max(0, self.count - heard)
+
+    def use_names(self, names):
+        """
+        Take which gateways share the servers' limits.
+
+        Parameters
+        ----------
+        names : collection of str
+            This gateway's own included.
+        """
+        for server in self._by_id.values():
+            server.limit.use_entries(names)
+
+    def told_limits(self):
+        """
+        List what servers have said lately to this gateway of their limits.
+
+        Returns
+        -------
+        dict of str to list
+            By server, the requests a second (None if there is no limit any more) and
+            the age of the word in milliseconds.
+        """
+        now = trio.current_time()
+        return {
+            id: [server.limit.named_rate, round(1000 * (now - server.limit.told_s))]
+            for id, server in self._by_id.items()
+            if now - server.limit.told_s <= _TOLD_FOR_S
+        }
+
+    def take_limits(self, limits):
+        """
+        Take what servers have said to another gateway of their limits.
+
+        Parameters
+        ----------
+        limits : dict of str to list
+            As of `told_limits`.
+
+        Raises
+        ------
+        TypeError, ValueError
+            If it has another form.
+        """
+        now = trio.current_time()
+        for id, (rate, age_ms) in limits.items():
+            if rate is not None and not 0 <= float(rate) < inf:
+                raise ValueError(f"limit {rate!r} is no number from 0")
+            if type(age_ms) is not int or age_ms < 0:
+                raise ValueError(f"age {age_ms!r} is no whole number of ms from 0")
+            if id in self._by_id:
+                self._by_id[id].limit.hear(rate, now - age_ms / 1000)
+
+    def own_backoffs(self):
+        """
+        List the pauses that servers have asked this gateway for.
+
+        Returns
+        -------
+        dict of str to float
+            By server, the end on trio's clock.
+        """
+        now = trio.current_time()
+        return {
+            id: server.backoff.until_s
+            for id, server in self._by_id.items()
+            if server.backoff.is_on(now)
+        }
+
+    def take_backoffs(self, backoffs):
+        """
+        Take the pauses that servers have asked another gateway for.
+
+        Parameters
+        ----------
+        backoffs : dict of str to int
+            By server, what was left of each when it was told, in milliseconds.
+
+        Raises
+        ------
+        ValueError
+            If one is no time within bounds.
+        """
+        now = trio.current_time()
+        for id, left_ms in backoffs.items():
+            if type(left_ms) is not int or not 0 <= left_ms <= _LONGEST_BACKOFF_MS:
+                raise ValueError(f"pause {left_ms!r} is no time within bounds")
+            if id in self._by_id:
+                self._by_id[id].backoff.asked_elsewhere(left_ms / 1000, now)
+
+    def own_counts(self):
+        """
+        Count this gateway's requests.
+
+        Returns
+        -------
+        dict of str to int
+            By server; those without any are left out.
+        """
+        return {id: s.load.own for id, s in self._by_id.items() if s.load.own}
+
+    def take_shares(self, gateway, counts, is_all):
+        """
+        Take another gateway's counts.
+
+        Parameters
+        ----------
+        gateway : str
+        counts : dict of str to int
+        is_all : bool
+            Servers that are not named have none.
+        """
+        now = trio.current_time()
+        self._heard_s[gateway] = now
+        self._note_unheard()
+        for id in self._by_id if is_all else self._by_id.keys() & counts.keys():
+            self._by_id[id].load.share(gateway, int(counts.get(id, 0)), now)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -47,9 +47,9 @@
     is_all : bool
         Servers that are not named have none.
     limits : dict of str to list
-        See `Servers.told_limits`.
+        See `Peers.told_limits`.
     backoffs : dict of str to int
-        See `Servers.take_backoffs`.
+        See `Peers.take_backoffs`.
     """
 
     __slots__ = ("gateway", "counts", "is_all", "limits", "backoffs")
@@ -91,15 +91,15 @@
         Gives this gateway's own `EntryPresence`.
     there : callable
         Gives the gateways that are there by name, this one included.
-    servers : Servers
+    peers : Peers
     endpoint : UdpEndpoint
         At the internal address of this gateway.
     """
 
-    def __init__(self, presence, there, servers, endpoint):
+    def __init__(self, presence, there, peers, endpoint):
         self._presence = presence
         self._there = there
-        self._servers = servers
+        self._peers = peers
         self._endpoint = endpoint
         self._told = {}
         self._told_backoffs = {}
@@ -124,28 +124,28 @@
             is_all = trio.current_time() - told_all_s >= _TELL_ALL_S
             if is_all:
                 told_all_s = trio.current_time()
-                self._servers.use_gateways(self._there().keys())
-            self._servers.expect_peers(len(self._others()))
+                self._peers.use_names(self._there().keys())
+            self._peers.expect(len(self._others()))
             for news in self._own_news(is_all):
                 self._gather(news)
                 await self._send(_Hop.OWN, self._near(), [news])
             await self._pass_far()
 
     def _own_news(self, is_all):
-        counts = self._servers.own_counts()
+        counts = self._peers.own_counts()
         changed = counts if is_all else self._changed(counts)
         self._told = counts
         name = self._presence().name
         if changed or is_all:
             yield _News(name, changed, is_all, {}, {})
-        for limits in _parts(self._servers.told_limits() if is_all else {}):
+        for limits in _parts(self._peers.told_limits() if is_all else {}):
             yield _News(name, {}, False, limits, {})
         for backoffs in _parts(self._new_backoffs(is_all)):
             yield _News(name, {}, False, {}, backoffs)
 
     def _new_backoffs(self, is_all):
         """Give what is left of pauses, of those that have just begun or of all."""
-        ends_s, told = self._servers.own_backoffs(), self._told_backoffs
+        ends_s, told = self._peers.own_backoffs(), self._told_backoffs
         self._told_backoffs = ends_s
         now = trio.current_time()
         return {
@@ -219,9 +219,9 @@
                 log_event("share-unreadable", level="warning", why=str(exc)[:200])
 
     def _take(self, news, hop):
-        self._servers.take_shares(news.gateway, news.counts, news.is_all)
-        self._servers.take_limits(news.limits)
-        self._servers.take_backoffs(news.backoffs)
+        self._peers.take_shares(news.gateway, news.counts, news.is_all)
+        self._peers.take_limits(news.limits)
+        self._peers.take_backoffs(news.backoffs)
         if hop == _Hop.OWN:
             self._gather(news)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -1,11 +1,9 @@
-from contextlib import suppress
-
 import pytest
 import trio
 
 from gooseberryyoke.membership.server_book import RankPlace, ServerState
 from gooseberryyoke_daemon.testing.routed import NAMES, run_routed, sample_table
-from gooseberryyoke_daemon.wire import Address, ExchangeBroken, Response
+from gooseberryyoke_daemon.wire import Address, Response
 
 EVENTS = ("content-type", "text/event-stream")
 LEAVING = (NAMES.leaving[0], "1")
@@ -60,21 +58,6 @@
     return answer
 
 
-async def ask_often(session, path, for_s, rate=RATE, name="a"):
-    """Send requests at a rate; return the answers, those left out that were cut."""
-    replies = []
-
-    async def ask(number):
-        with suppress(ExchangeBroken):
-            replies.append(await session.ask(path, attempt=f"{name}{number}"))
-
-    async with trio.open_nursery() as nursery:
-        for number in range(round(rate * for_s)):
-            nursery.start_soon(ask, number)
-            await trio.sleep(1 / rate)
-    return replies
-
-
 def statuses(replies):
     return {reply.status for reply in replies}
 
@@ -93,8 +76,8 @@
             await session.add(f"s{number}", asking(3, status, headers))
             for number in (1, 2)
         ]
-        await ask_often(session, path, AFTER_S)
-        await ask_often(session, path, 2.4, name="b")
+        await session.ask_often(path, RATE, AFTER_S)
+        await session.ask_often(path, RATE, 2.4, "b")
         assert [server.check.faults() for server in servers] == [[], []]
         assert all(server.check.asked for server in servers)
 
@@ -110,8 +93,8 @@
         places = [place and member(rank) for rank in (0, 1)]
         asker = await session.add("s1", asking(3), place=places[0])
         await session.add("s2", serving(), place=places[1])
-        await ask_often(session, path, AFTER_S)
-        replies = await ask_often(session, path, 2.4, name="b")
+        await session.ask_often(path, RATE, AFTER_S)
+        replies = await session.ask_often(path, RATE, 2.4, "b")
         assert asker.check.asked
         assert [reply.status for reply in replies] == [200] * 60
         assert asker.check.faults() == []
@@ -125,8 +108,8 @@
     async def main(session):
         asker = await session.add("s1", asking(3), place=member(0))
         await session.add("s2", streaming(), place=member(1))
-        await ask_often(session, "/draw/x", AFTER_S)
-        replies = await ask_often(session, "/draw/x", 2.4, name="b")
+        await session.ask_often("/draw/x", RATE, AFTER_S)
+        replies = await session.ask_often("/draw/x", RATE, 2.4, "b")
         assert asker.check.asked
         assert [reply.status for reply in replies] == [200] * 60
         assert session.servers.limit_parts() == {"g": 1.0}
@@ -139,8 +122,8 @@
     # an earlier one still holds.
     async def main(session):
         server = await session.add("s1", asking_in_turn(4, 1))
-        await ask_often(session, "/read/x", 0.1, rate=100)
-        await ask_often(session, "/read/x", 3.8, name="b")
+        await session.ask_often("/read/x", 100, 0.1)
+        await session.ask_often("/read/x", RATE, 3.8, "b")
         assert server.check.faults() == []
 
     run_routed(main)
@@ -156,7 +139,7 @@
             server.answer = asking(3)
             await session.ask("/read/x", attempt="a2")
             await trio.sleep(1.0)
-        await ask_often(session, "/read/x", 1.5, name="b")
+        await session.ask_often("/read/x", RATE, 1.5, "b")
         assert server.check.faults() == []
 
     run_routed(main)
@@ -198,13 +181,13 @@
     # Guards against all that wait going at once to a server that still needs a pause.
     async def main(session):
         server = await session.add("s1", asking(1))
-        await ask_often(session, "/read/x", 0.1, rate=100)
+        await session.ask_often("/read/x", 100, 0.1)
         before = len(server.check.arrivals)
-        await ask_often(session, "/read/x", 5.0, name="b")
+        await session.ask_often("/read/x", RATE, 5.0, "b")
         assert 2 <= len(server.check.arrivals) - before <= 5
         server.answer = serving()
         await trio.sleep(1.2)
-        assert statuses(await ask_often(session, "/read/x", 1.0, name="c")) == {200}
+        assert statuses(await session.ask_often("/read/x", RATE, 1.0, "c")) == {200}
 
     run_routed(main)
 
@@ -214,8 +197,8 @@
     async def main(session):
         await session.add("s1", streaming(count=9, cut_after=4))
         asker = await session.add("s2", asking(3))
-        await ask_often(session, "/draw/x", AFTER_S)
-        await ask_often(session, "/draw/x", 2.4, name="b")
+        await session.ask_often("/draw/x", RATE, AFTER_S, may_cut=True)
+        await session.ask_often("/draw/x", RATE, 2.4, "b", may_cut=True)
         assert asker.check.asked
         assert asker.check.faults() == []
 
@@ -230,8 +213,8 @@
         leaver = await session.add("s1", serving(LEAVING))
         if count == 2:
             await session.add("s2", serving())
-        await ask_often(session, "/read/x", 2.2)
-        replies = await ask_often(session, "/read/x", 2.0, name="b")
+        await session.ask_often("/read/x", RATE, 2.2)
+        replies = await session.ask_often("/read/x", RATE, 2.0, "b")
         assert leaver.check.asked
         assert leaver.check.faults() == []
         assert statuses(replies) == ({200} if count == 2 else {503})
@@ -256,16 +239,16 @@
     async def main(session):
         leaver = await session.add("s1", serving(LEAVING))
         await session.add("s2", serving())
-        await ask_often(session, "/read/x", 0.5)
+        await session.ask_often("/read/x", RATE, 0.5)
         address = Address("10.1.0.1", 80)
         session.announce("s1", address, sequence=7)
         await trio.sleep(2.1)
-        await ask_often(session, "/read/x", 1.0, name="b")
+        await session.ask_often("/read/x", RATE, 1.0, "b")
         assert leaver.check.faults() == []
         before = len(leaver.requests)
         leaver.answer = serving()
         session.announce("s1", address, born_ms=2)
-        await ask_often(session, "/read/x", 1.0, name="c")
+        await session.ask_often("/read/x", RATE, 1.0, "c")
         assert len(leaver.requests) > before
 
     run_routed(main)
@@ -294,7 +277,7 @@
         await session.serve(server, address)
         session.announce("s1", address, sequence=2)
         await trio.sleep(0.6)
-        await ask_often(session, "/read/x", 2.0, name="b")
+        await session.ask_often("/read/x", RATE, 2.0, "b")
         assert server.check.faults() == []
 
     run_routed(main)
@@ -339,7 +322,7 @@
         assert 'gooseberryyoke_servers_in_backoff{service="s"} 1' in text
         await trio.sleep(1.1)
         server.answer = serving()
-        await ask_often(session, "/read/x", 0.5, name="b")
+        await session.ask_often("/read/x", RATE, 0.5, "b")
         text = session.node.render_metrics().decode()
         assert 'gooseberryyoke_servers_in_backoff{service="s"} 0' in text
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_limits.py
@@ -35,19 +35,9 @@
 
 async def _ask_often(session, rate, for_s):
     """Send requests at a rate; return the status of each."""
-    statuses = []
-
-    async def ask(number):
-        answer = await session.ask(
-            "/read/", attempt=f"a{trio.current_time()}-{number}", deadline_ms=900
-        )
-        statuses.append(answer.status)
-
-    async with trio.open_nursery() as nursery:
-        for number in range(int(rate * for_s)):
-            nursery.start_soon(ask, number)
-            await trio.sleep(1 / rate)
-    return statuses
+    name = f"a{trio.current_time()}-"
+    replies = await session.ask_often("/read/", rate, for_s, name, deadline_ms=900)
+    return [reply.status for reply in replies]
 
 
 def test_a_server_in_need_gets_no_more_than_it_takes():
@@ -122,7 +112,7 @@
         self.sharing = LoadSharing(
             lambda: there[f"g{number}"],
             lambda: there,
-            self.servers,
+            self.servers.peers,
             network.host(own.host).datagrams(own),
         )
 
@@ -176,7 +166,7 @@
 def test_malformed_words_of_other_gateways_change_nothing(limits):
     async def main(network, gateways):
         with pytest.raises((AttributeError, TypeError, ValueError)):
-            gateways[0].take_limits(limits)
+            gateways[0].peers.take_limits(limits)
         assert _limit_of(gateways[0]).named_rate is None
 
     _with_gateways(main, 1)
@@ -220,7 +210,7 @@
 def test_malformed_pauses_of_other_gateways_change_nothing(left_ms):
     async def main(network, gateways):
         with pytest.raises(ValueError):
-            gateways[0].take_backoffs({"s1": left_ms})
+            gateways[0].peers.take_backoffs({"s1": left_ms})
         assert not _backoff_of(gateways[0]).is_on_elsewhere(trio.current_time())
 
     _with_gateways(main, 1)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_refusals.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_refusals.py
@@ -33,19 +33,6 @@
     return RankPlace("g", 1, rank, 3, True)
 
 
-async def ask_often(session, for_s=FOR_S):
-    replies = []
-
-    async def ask(number):
-        replies.append(await session.ask("/draw/x", attempt=f"a{number}"))
-
-    async with trio.open_nursery() as nursery:
-        for number in range(round(RATE * for_s)):
-            nursery.start_soon(ask, number)
-            await trio.sleep(1 / RATE)
-    return replies
-
-
 def test_a_server_that_turns_all_away_draws_no_more_than_sound_ones():
     # Guards against a server without work that looks idle, so that most requests meet
     # it first, and against its group being tried by one request at a time meanwhile.
@@ -55,10 +42,10 @@
             await session.add(f"s{rank + 1}", streaming(), place=member(rank))
             for rank in (1, 2)
         ]
-        await ask_often(session, 1.0)
+        await session.ask_often("/draw/x", RATE, 1.0)
         sick.answer = refusing()
         before = [len(server.requests) for server in (sick, *sound)]
-        replies = await ask_often(session)
+        replies = await session.ask_often("/draw/x", RATE, FOR_S, "b")
         assert [reply.status for reply in replies] == [200] * round(RATE * FOR_S)
         at_sick, *at_sound = (
             len(server.requests) - count
@@ -78,7 +65,7 @@
             await session.add(f"s{rank + 1}", refusing(), place=member(rank))
             for rank in range(3)
         ]
-        replies = await ask_often(session)
+        replies = await session.ask_often("/draw/x", RATE, FOR_S, "b")
         assert {reply.status for reply in replies} == {503}
         arrivals = sum(len(server.requests) for server in servers)
         assert arrivals < RATE * FOR_S / 2
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing.py
@@ -69,7 +69,10 @@
                 zones,
             )
             sharing = LoadSharing(
-                lambda entry=entry: entry, lambda: self.there, servers, endpoint
+                lambda entry=entry: entry,
+                lambda: self.there,
+                servers.peers,
+                endpoint,
             )
             self.scopes[name] = await self._nursery.start(_run, sharing)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -80,7 +80,7 @@
         self._sharing = LoadSharing(
             self.presence,
             lambda: self.roster.there(trio.current_time()),
-            self.servers,
+            self.servers.peers,
             network.datagrams(settings.node.internal),
         )
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -22,6 +22,7 @@
 from gooseberryyoke_daemon.testing.arrivals import ArrivalCheck
 from gooseberryyoke_daemon.wire import (
     Address,
+    ExchangeBroken,
     HttpClient,
     HttpServer,
     Limits,
@@ -271,6 +272,43 @@
             body = await reply.read()
             return Response(reply.status, reply.headers, body)
 
+    async def ask_often(self, path, rate, for_s, name="a", may_cut=False, **fields):
+        """
+        Send requests at a rate.
+
+        Parameters
+        ----------
+        path : str
+        rate, for_s : float
+            Requests a second, and for how many seconds.
+        name : str
+            Begins the ids of the attempts.
+        may_cut : bool
+            Answers that are cut are left out; else the first one is raised.
+        **fields
+            As of `request`.
+
+        Returns
+        -------
+        list of Response
+
+        Raises
+        ------
+        ExchangeBroken
+        """
+        replies = []
+
+        async def ask(number):
+            with suppress(*([ExchangeBroken] if may_cut else [])):
+                attempt = f"{name}{number}"
+                replies.append(await self.ask(path, attempt=attempt, **fields))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(round(rate * for_s)):
+                nursery.start_soon(ask, number)
+                await trio.sleep(1 / rate)
+        return replies
+
 
 def run_routed(main, table=None):
     """
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/health.py
@@ -55,9 +55,8 @@
         if self.is_shunned(now):
             # Requests that were there together fail together: one event, not many.
             return
-        doublings = min(self.failures, _MOST_DOUBLINGS)
+        self.shun(now, _doubled(_FIRST_SHUN_S, self.failures, _LONGEST_SHUN_S))
         self.failures += 1
-        self.shun(now, min(_LONGEST_SHUN_S, _FIRST_SHUN_S * 2**doublings))
 
     def was_full(self, now):
         """
@@ -81,9 +80,8 @@
         """
         if self.is_shunned(now):
             return
-        doublings = min(self.refusals, _MOST_DOUBLINGS)
+        self.shun(now, _doubled(_FIRST_REFUSED_S, self.refusals, _LONGEST_REFUSED_S))
         self.refusals += 1
-        self.shun(now, min(_LONGEST_REFUSED_S, _FIRST_REFUSED_S * 2**doublings))
 
     def shun(self, now, seconds):
         """
@@ -99,3 +97,7 @@
     def is_shunned(self, now):
         """Tell whether it is left out at a time in seconds."""
         return now < self.shunned_until_s
+
+
+def _doubled(first_s, times, longest_s):
+    return min(longest_s, first_s * 2 ** min(times, _MOST_DOUBLINGS))
--- a/tools/bench/backoff.py
+++ b/tools/bench/backoff.py
@@ -213,7 +213,7 @@
         for gateway in nodes:
             listeners = await network.host(gateway.address.host).listen(gateway.address)
             await nursery.start(gateway.node.run, listeners)
-            gateway.servers.expect_peers(gateways - 1)
+            gateway.servers.peers.expect(gateways - 1)
         nursery.start_soon(_share, nodes, way)
         await _send(network, nodes, statuses, rng, for_s)
         nursery.cancel_scope.cancel()
@@ -235,18 +235,18 @@
             for hearer in nodes:
                 if hearer is teller:
                     continue
-                counts = teller.servers.own_counts()
-                hearer.servers.take_shares(teller.name, counts, is_all=True)
+                counts = teller.servers.peers.own_counts()
+                hearer.servers.peers.take_shares(teller.name, counts, is_all=True)
                 _tell_pauses(teller, hearer, way, now)
 
 
 def _tell_pauses(teller, hearer, way, now):
     if way.told == "nothing":
         return
-    for id, end_s in teller.servers.own_backoffs().items():
+    for id, end_s in teller.servers.peers.own_backoffs().items():
         left_s = end_s - now
         if way.told == "hint":
-            hearer.servers.take_backoffs({id: round(1000 * left_s)})
+            hearer.servers.peers.take_backoffs({id: round(1000 * left_s)})
         elif hearer.by_id[id].backoff.until_s < end_s:
             hearer.by_id[id].backoff.asked(left_s, now)
 
--- a/tools/bench/placing.py
+++ b/tools/bench/placing.py
@@ -25,8 +25,8 @@
     "has place": lambda servers: servers.has_place(_SERVICE, False),
     "choose": lambda servers: servers.choose(_SERVICE, ()),
     "least rate": lambda servers: servers.least_rate(_SERVICE),
-    "take counts": lambda servers: servers.take_shares("g1", {"s1": 1}, False),
-    "take all counts": lambda servers: servers.take_shares("g1", {"s1": 1}, True),
+    "take counts": lambda servers: servers.peers.take_shares("g1", {"s1": 1}, False),
+    "take all counts": lambda servers: servers.peers.take_shares("g1", {"s1": 1}, True),
 }
 
 
@@ -55,11 +55,11 @@
 def _servers(server_count, gateway_count, rng):
     servers = Servers("c0", rng, "g0")
     servers.take([_entry(number) for number in range(server_count)])
-    servers.expect_peers(gateway_count - 1)
+    servers.peers.expect(gateway_count - 1)
     each = max(1, round(_RUNNING * server_count / gateway_count))
     for number in range(1, gateway_count):
         counts = {f"s{rng.randrange(server_count)}": 1 for _ in range(each)}
-        servers.take_shares(f"g{number}", counts, True)
+        servers.peers.take_shares(f"g{number}", counts, True)
     return servers
 
 
