--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/backoff.py
@@ -1,6 +1,6 @@
 """The pause that a server asks an entry for when it turns a request away."""
 
-from math import isfinite
+from math import inf, isfinite
 
 __all__ = ["LONGEST_BACKOFF_S", "ServerBackoff", "read_backoff"]
 
@@ -54,9 +54,9 @@
     )
 
     def __init__(self):
-        self.until_s = float("-inf")
-        self._elsewhere_until_s = float("-inf")
-        self._elsewhere_s = float("-inf")
+        self.until_s = -inf
+        self._elsewhere_until_s = -inf
+        self._elsewhere_s = -inf
         self._is_untried = False
         self._trial_s = None
 
@@ -119,7 +119,7 @@
             Whether it shows that a pause is over.
         """
         if sent_s >= self._elsewhere_s:
-            self._elsewhere_until_s = float("-inf")
+            self._elsewhere_until_s = -inf
         if not self._is_untried or sent_s < self.until_s:
             return False
         self._is_untried = False
@@ -160,8 +160,7 @@
             0 in a pause; 1 after it until a request was answered, so that not all
             that wait meet a server that still needs rest; else infinite.
         """
-        if self.is_on(now):
-            return 0
+        # First, as each choice asks this of each server.
         if not self._is_untried:
-            return float("inf")
-        return 0 if self._trial_s is not None else 1
+            return inf
+        return 0 if self.is_on(now) or self._trial_s is not None else 1
