--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -8,6 +8,7 @@
 __all__ = ["Retry"]
 
 _REROUTED = frozenset(["leaving", "agent-full", "other-incarnation", "server-paused"])
+_NONE_LEFT = frozenset(["all-tried", "servers-paused"])
 _LEFT_TO_OTHERS = frozenset([CONTENDED, NO_MAJORITY, "old-bundle"])
 
 
@@ -38,7 +39,7 @@
             if isinstance(result, Success):
                 return result
             refusal = result.failure()
-            if refusal.reason == "all-tried" and before is not None:
+            if refusal.reason in _NONE_LEFT and before is not None:
                 # Why the last server failed says more than that none is left.
                 return before
             before = result
