--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -97,11 +97,11 @@
         self._book.forget_old(now, _FORGET_S)
         for id, entry in self._book.entries.items():
             server = self._by_id.get(id)
-            if server is not None and server.entry.born_ms == entry.born_ms:
-                server.announced(entry)
-            else:
+            if server is None or server.entry.born_ms != entry.born_ms:
                 limit = RateLimit(id, self._name)
                 self._by_id[id] = Server(entry, limit, self._pulse(entry))
+            elif server.entry is not entry:
+                server.announced(entry)
         for id in set(self._by_id) - set(self._book.entries):
             del self._by_id[id]
 
