--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -98,13 +98,20 @@
         for id, entry in self._book.entries.items():
             server = self._by_id.get(id)
             if server is None or server.entry.born_ms != entry.born_ms:
-                limit = RateLimit(id, self._name)
-                self._by_id[id] = Server(entry, limit, self._pulse(entry))
+                self._by_id[id] = self._begin_life(entry, server)
             elif server.entry is not entry:
                 server.announced(entry)
         for id in set(self._by_id) - set(self._book.entries):
             del self._by_id[id]
 
+    def _begin_life(self, entry, before):
+        server = Server(entry, RateLimit(entry.id, self._name), self._pulse(entry))
+        if before is not None:
+            # Its next life answers under the same id and address before it is
+            # announced: whose word a pause is can't be told.
+            server.backoff = before.backoff
+        return server
+
     def _pulse(self, entry):
         if entry.place is None:
             return None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -268,6 +268,28 @@
     run_routed(main)
 
 
+@pytest.mark.parametrize("announced_after_s", [0.05, 0.3])
+def test_a_pause_asked_for_around_a_restart_is_kept(announced_after_s):
+    # Guards against the word of a server's next life being taken for that of the life
+    # before, and forgotten with it: it answers before or just after it is announced.
+    async def main(session):
+        async def slow(request):
+            await trio.sleep(0.1)
+            return await asking(3)(request)
+
+        server = await session.add("s1", slow)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(session.ask, "/read/x")
+            await trio.sleep(announced_after_s)
+            session.announce("s1", Address("10.1.0.1", 80), born_ms=2)
+        await trio.sleep(0.6)
+        await session.ask_often("/read/x", RATE, 2.0, "b")
+        assert server.check.asked
+        assert server.check.faults() == []
+
+    run_routed(main)
+
+
 def test_a_new_address_does_not_end_a_pause():
     # Guards against what a server asked for being forgotten with its announcement.
     async def main(session):
