Log how a server told the end of its answer, and how many events came

Change: `Reply.framing` (length, chunked, close) by the head of the answer; `framing`, `events` and `last_event` in request-answered, `events` in stream-cut, and ends_not_told_total by service. No decision reads them yet.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -62,6 +62,8 @@
     ----------
     server : Server
     head : Head
+    framing : Framing
+        How the end of the answer is told.
     sent_s : float
         On trio's clock.
     first_s : float or None
@@ -73,6 +75,7 @@
     __slots__ = (
         "server",
         "head",
+        "framing",
         "sent_s",
         "first_s",
         "load",
@@ -89,6 +92,7 @@
         self.load = load
         self.server = server
         self.head = Head(reply.status, end_to_end(reply.headers))
+        self.framing = reply.framing
         self._stack = stack
         self._reply = reply
         self._chunks = reply.chunks()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -43,6 +43,10 @@
         Of all attempts so far.
     longest_gap_s : float
         Between two events of a stream, as they came from servers.
+    events : int
+        Of a stream, that came from servers.
+    last_event_id : str or None
+        Of the last one of them that had an id.
     """
 
     __slots__ = (
@@ -65,6 +69,8 @@
         "sent_s",
         "verdict",
         "longest_gap_s",
+        "events",
+        "last_event_id",
     )
 
     def __init__(self, request, number, received_s):
@@ -87,6 +93,8 @@
         self.sent_s = None
         self.verdict = None
         self.longest_gap_s = 0.0
+        self.events = 0
+        self.last_event_id = None
 
     @property
     def ahead(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -86,6 +86,16 @@
         """
         self._put("count", "server_backoffs_total", {"service": service})
 
+    def end_not_told(self, service):
+        """
+        Note an answer whose end was told by the end of its connection only.
+
+        Parameters
+        ----------
+        service : str
+        """
+        self._put("count", "ends_not_told_total", {"service": service})
+
     def slot_assigned_twice(self, service):
         """
         Note that all slots of an engine were taken when a request came to it.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -145,6 +145,8 @@
         cause = late_by(exchange, call.sent_s, call.first_s)
         cause = None if cause is None else cause.value
         self._observer.answered(exchange, call.first_s, call.sent_s, now, cause)
+        if not call.framing.tells_end:
+            self._observer.end_not_told(exchange.service)
         log_event(
             "request-answered",
             request=exchange.number,
@@ -159,6 +161,9 @@
             first_ms=None if call.first_s is None else round(call.first_s * 1000),
             longest_gap_ms=round(exchange.longest_gap_s * 1000),
             total_ms=round((now - exchange.received_s) * 1000),
+            framing=call.framing.value,
+            events=exchange.events,
+            last_event=exchange.last_event_id,
             table=exchange.table.version,
         )
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -45,7 +45,6 @@
         "_call",
         "_splitter",
         "_ready",
-        "_last_id",
         "_last_event_s",
         "_read_ahead",
         "_events",
@@ -68,7 +67,6 @@
         self._call = call
         self._splitter = EventSplitter()
         self._ready = []
-        self._last_id = None
         self._last_event_s = None
 
     async def start(self):
@@ -204,16 +202,17 @@
             self._relay.note_broken(exchange, broken.server, exc)
         await broken.close()
         if exchange.route.is_resumable and not is_unread:
-            self._call = await self._relay.resume(exchange, self._last_id)
+            self._call = await self._relay.resume(exchange, exchange.last_event_id)
         if self._call is None:
             log_event(
                 "stream-cut",
                 level="warning",
                 request=exchange.number,
                 reason=exc.reason,
-                after_event=self._last_id,
+                after_event=exchange.last_event_id,
+                events=exchange.events,
             )
-            raise BodyCut(f"{exc.reason} after event {self._last_id}")
+            raise BodyCut(f"{exc.reason} after event {exchange.last_event_id}")
         self._splitter = EventSplitter()
 
     async def _next_events(self):
@@ -241,9 +240,10 @@
     def _note_ids(self, events):
         # Also of events that are only read ahead: a server that goes on with the
         # stream must not give them once more.
+        self._exchange.events += len(events)
         for event in events:
             if event.id is not None:
-                self._last_id = event.id
+                self._exchange.last_event_id = event.id
 
     def _note_gap(self):
         now = trio.current_time()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -103,6 +103,12 @@
         "Refusals by which a server asked this gateway for a pause.",
         ("service",),
     ),
+    Definition(
+        "ends_not_told_total",
+        "Answers of servers that had neither a length nor chunks: nothing tells a "
+        "whole one from one that was cut off between two events.",
+        ("service",),
+    ),
     Definition(
         "slots_assigned_twice_total",
         "Requests of this gateway that met an engine with all slots taken.",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/__init__.py
@@ -10,6 +10,7 @@
     UnsendableRequest,
     WireError,
 )
+from gooseberryyoke_daemon.wire.framing import Framing
 from gooseberryyoke_daemon.wire.limits import Limits
 from gooseberryyoke_daemon.wire.message import (
     VERDICT_HEADER,
@@ -29,6 +30,7 @@
     "BodyCut",
     "ConnectFailed",
     "ExchangeBroken",
+    "Framing",
     "HttpClient",
     "HttpServer",
     "JsonReply",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -244,7 +244,7 @@
             request = request.replace(headers=[("host", str(address)), *headers])
         return self._signer.sign(request) if self._signer else request
 
-    def reply_to(self, address, channel, head):
+    def reply_to(self, address, channel, head, method):
         """
         Wrap the head of a reply.
 
@@ -256,12 +256,14 @@
             That carries the body.
         head : h11.Response
             As received.
+        method : str
+            Of the request.
 
         Returns
         -------
         Reply
         """
-        return Reply(address, channel, head, self._limits.body_bytes)
+        return Reply(address, channel, head, self._limits.body_bytes, method)
 
 
 class _Attempt:
@@ -314,7 +316,8 @@
             if channel.early_bytes:
                 detail = f"no valid reply: {exc}"
             raise ExchangeBroken(self._address, detail) from exc
-        return self._client.reply_to(self._address, channel, head)
+        method = self._request.method
+        return self._client.reply_to(self._address, channel, head, method)
 
     def _encode(self, request):
         try:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reply.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reply.py
@@ -4,6 +4,7 @@
 
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS
 from gooseberryyoke_daemon.wire.exceptions import ExchangeBroken
+from gooseberryyoke_daemon.wire.framing import framing_of_response
 from gooseberryyoke_daemon.wire.message import find_header
 
 __all__ = ["Reply"]
@@ -23,6 +24,8 @@
         As received.
     body_bytes : int
         Longest body that `read` takes.
+    method : str
+        Of the request.
 
     Attributes
     ----------
@@ -30,16 +33,19 @@
         HTTP status.
     headers : tuple of (str, str)
         Pairs with lower-case names.
+    framing : Framing
+        How the end of the body is told.
     is_complete : bool
         Whether the whole body was read.
     """
 
-    def __init__(self, address, channel, head, body_bytes):
+    def __init__(self, address, channel, head, body_bytes, method):
         self.status = head.status_code
         self.headers = tuple(
             (name.decode("ascii"), value.decode("latin-1"))
             for name, value in head.headers
         )
+        self.framing = framing_of_response(method, self.status, self.headers)
         self.is_complete = False
         self._address = address
         self._channel = channel
