--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
@@ -32,3 +32,22 @@
 def test_an_endless_event_is_refused():
     with pytest.raises(ValueError, match="longer than 10 bytes"):
         EventSplitter(max_bytes=10).feed(b"data: 0123456789")
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r", b"\r\n"], ids=["LF", "CR", "CRLF"])
+def test_events_of_each_line_end_pass_whole(line_end):
+    """An event whose end is not seen is held, and lost at the end of the stream."""
+    stream = STREAM.replace(b"\n", line_end)
+    splitter, events = EventSplitter(), []
+    for index in range(len(stream)):
+        events += splitter.feed(stream[index : index + 1])
+    assert [event.id for event in events] == ["1", "2", None]
+    assert b"".join(event.data for event in events) + splitter.rest == stream
+    assert not splitter.has_part
+
+
+def test_line_ends_after_the_last_event_are_not_lost():
+    """What a server sent has to arrive unchanged, also what says nothing."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\n\n\n")
+    assert (splitter.rest, splitter.has_part) == (b"\n", False)
