Pass on what follows the last event, and events with any line end

What callers saw: a server's bytes after its last event were left out, so that the body was not the server's whole body; a stream whose lines end with a carriage return alone gave no event at all and was cut at its end.

Cause: the splitter looked for two pairs of bytes as the end of an event, and what it held at the end of the stream was dropped.

Change: the three line ends of the format, in any mixture; the rest is passed on.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -109,6 +109,8 @@
                 del data
                 self._given_s = None
                 self._ready = await self._next_ready()
+            if self._splitter.rest:
+                yield self._splitter.rest
             self._call.server.health.succeeded()
             self._relay.note_answered(self._exchange, self._call)
         finally:
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
@@ -1,8 +1,30 @@
 """Server-sent events, cut out of a stream of bytes whole."""
 
+import re
+
 from gooseberryyoke.record import Record
 
-__all__ = ["Event", "EventSplitter"]
+__all__ = ["Event", "EventSplitter", "is_event_stream"]
+
+_MEDIA_TYPE = "text/event-stream"
+_END_OF_EVENT = re.compile(rb"(?>\r\n|\r|\n){2}")
+"""Atomic, as a carriage return and its line feed are not two line ends."""
+
+
+def is_event_stream(content_type):
+    """
+    Tell whether a content type names server-sent events.
+
+    Parameters
+    ----------
+    content_type : str
+        Value of the header, with its parameters.
+
+    Returns
+    -------
+    bool
+    """
+    return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
 
 
 class Event(Record):
@@ -48,6 +70,11 @@
         """Whether the bytes so far end within an event."""
         return bool(self._buffer.strip())
 
+    @property
+    def rest(self):
+        """Bytes after the last whole event."""
+        return bytes(self._buffer)
+
     def feed(self, data):
         """
         Take bytes and give the events that they complete.
@@ -67,24 +94,16 @@
         """
         self._buffer += data
         events = []
-        while (end := _end_of_event(self._buffer)) > 0:
-            raw = bytes(self._buffer[:end])
-            del self._buffer[:end]
+        while found := _END_OF_EVENT.search(self._buffer):
+            raw = bytes(self._buffer[: found.end()])
+            del found
+            del self._buffer[: len(raw)]
             events.append(Event(raw, _id_of(raw)))
         if len(self._buffer) > self._max_bytes:
             raise ValueError(f"event longer than {self._max_bytes} bytes")
         return events
 
 
-def _end_of_event(buffer):
-    ends = [
-        found + len(blank)
-        for blank in (b"\n\n", b"\r\n\r\n")
-        if (found := buffer.find(blank)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _id_of(raw):
     for line in raw.splitlines():
         if line.startswith(b"id:"):
