Take no end of a connection for the end of an answer after a reset

What callers saw: an answer with neither length nor chunks whose connection was reset while the request was still being sent counted as whole (ORDER, MIXED).

Cause: a kernel tells of a reset once. The write of the request met it, and was ignored on purpose, as a server may refuse a long body early; the read after it saw a plain end, which ends such an answer.

Change: the channel keeps that its write broke; an answer that only its connection ends is then broken off. Answers with a length or chunks are read as before, so that early refusals still arrive.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
@@ -22,15 +22,22 @@
         Of this end.
     head_bytes : int
         Longest head that is read.
+
+    Attributes
+    ----------
+    is_write_broken : bool
+        The connection was lost while something was sent. A kernel tells of a reset
+        once: a read after that may see a plain end.
     """
 
-    __slots__ = ("stream", "conn", "early_bytes", "idle_since_s")
+    __slots__ = ("stream", "conn", "early_bytes", "idle_since_s", "is_write_broken")
 
     def __init__(self, stream, role, head_bytes):
         self.stream = stream
         self.conn = h11.Connection(role, max_incomplete_event_size=head_bytes)
         self.early_bytes = 0
         self.idle_since_s = 0.0
+        self.is_write_broken = False
 
     async def receive(self):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -338,7 +338,7 @@
         except trio.BrokenResourceError:
             # A server may refuse a long body before its end and close; its answer
             # can still be read. If there is none, the read fails in turn.
-            return
+            self.channel.is_write_broken = True
 
     async def _read_head(self):
         while isinstance(
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reply.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/reply.py
@@ -76,8 +76,14 @@
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             else:
+                self._check_end()
                 self.is_complete = True
 
+    def _check_end(self):
+        if self._channel.is_write_broken and not self.framing.tells_end:
+            detail = "connection lost while the request was sent, no end of the reply"
+            raise ExchangeBroken(self._address, detail)
+
     async def read(self):
         """
         Read the whole body.
