Let only a continuation go on with a stream that broke

Cause: the first server's answer is looked at before anything is passed on: status, type, a first event. What a second server answers to Last-Event-Id was not: its body went on with the stream, whatever it was. A 500 or 504 without a body has no bytes and a regular end, so the stream had one too. The class: the place that decides that a stream is at its end did not know what the answer at hand continues.

Change: a call goes on with a stream if it is a 200 of events whose first one follows the last that was passed on; anything else is an attempt that failed (not-continued), does not count against the server's health, and the next server is asked while attempts are left. Else the caller's connection is cut, so that it can come back with Last-Event-Id. An end before the first event counts if the server tells it, since only the end may have been lost. A stream without ids is not resumed: a second server would begin anew. A caller that asks for what follows its last event may get an empty stream. The type is compared as HTTP has it; without a type and a told end, an answer on a streaming route is taken for a stream.

Why it works: each way to the last chunk now passes through the end of an answer that was checked to be the first one or its continuation.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -6,6 +6,7 @@
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke.retry import RetryDecision
 from gooseberryyoke.routing import RouteKind
+from gooseberryyoke.stream.events import is_event_stream
 from gooseberryyoke_daemon.gateway.call import CallFailed
 from gooseberryyoke_daemon.gateway.evacuated import refuse_evacuated
 from gooseberryyoke_daemon.gateway.lateness import late_by
@@ -15,9 +16,12 @@
 
 __all__ = ["Relay"]
 
+_OK = 200
 _INTERNAL_ERROR = 500
 _NO_SERVER_RETRY_S = 0.5
 _REFUSALS = ("server-refused", "server-failed")
+_BLAMELESS = ("server-error", "not-continued")
+"""Failures of an attempt that don't tell of the server's health."""
 _REROUTES = 3
 """Attempts that never reached a server, for one request: connections refused by
 servers that have just ended. More of them mean that the list of servers is stale."""
@@ -116,8 +120,7 @@
 
     async def _answer(self, exchange, call):
         head = call.head
-        kind = call.header("content-type") or ""
-        if head.status == 200 and kind.startswith("text/event-stream"):
+        if _is_stream(exchange, call):
             relay = StreamRelay(self, exchange, call, self._read_ahead)
             await relay.start()
             return Response(head.status, head.headers, relay)
@@ -189,10 +192,17 @@
         Call or None
             None if that may not be, or failed.
         """
-        await self._until_heard()
-        server = self._choose(exchange)
-        if server is None or not self._may_try_again(exchange):
-            return None
+        while True:
+            await self._until_heard()
+            server = self._choose(exchange)
+            if server is None or not self._may_try_again(exchange):
+                return None
+            try:
+                return await self._continue_at(exchange, server, last_event_id)
+            except CallFailed as exc:
+                self.note_broken(exchange, server, exc)
+
+    async def _continue_at(self, exchange, server, last_event_id):
         exchange.tried.add(server.entry.id)
         exchange.sends += 1
         exchange.sent_s = trio.current_time()
@@ -202,13 +212,15 @@
             server=server.entry.id,
             after_event=last_event_id,
         )
-        try:
-            return await self._calls.open(
-                exchange, server, exchange.deadline_s, last_event_id
-            )
-        except CallFailed as exc:
-            self.note_broken(exchange, server, exc)
-            return None
+        call = await self._calls.open(
+            exchange, server, exchange.deadline_s, last_event_id
+        )
+        if _is_stream(exchange, call):
+            return call
+        await call.close()
+        status, kind = call.head.status, call.header("content-type")
+        detail = f"status {status}, type {kind}: does not go on with a stream"
+        raise CallFailed(Verdict.MAY_HAVE_RUN, "not-continued", detail)
 
     def _may_try_again(self, exchange):
         if exchange.sends >= exchange.route.max_attempts:
@@ -251,7 +263,7 @@
         elif exc.reason == "answer-stalled":
             if server.pulse is None:
                 server.health.failed(now)
-        elif exc.reason != "server-error":
+        elif exc.reason not in _BLAMELESS:
             server.health.failed(now)
             server.pace.observe(now - exchange.received_s, now)
         log_event(
@@ -290,3 +302,14 @@
                 retry_s = self._admit.return_after_s(exchange)
             return Refusal(Verdict.NOT_RUN, 503, "no-server", detail, retry_s)
         return Refusal(exchange.verdict, 502, "no-server", detail)
+
+
+def _is_stream(exchange, call):
+    if call.head.status != _OK:
+        return False
+    kind = call.header("content-type")
+    if kind is None:
+        # Taken for a plain answer, half an event would pass as the end.
+        is_expected = exchange.route.kind is RouteKind.STREAMING
+        return is_expected and not call.framing.tells_end
+    return is_event_stream(kind)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -44,6 +44,7 @@
         "_exchange",
         "_call",
         "_splitter",
+        "_continues_after",
         "_ready",
         "_last_event_s",
         "_read_ahead",
@@ -66,6 +67,9 @@
         self._exchange = exchange
         self._call = call
         self._splitter = EventSplitter()
+        # Id after which the call's answer has to begin; None once it has, and for the
+        # first call.
+        self._continues_after = None
         self._ready = []
         self._last_event_s = None
 
@@ -77,11 +81,15 @@
         ------
         CallFailed
         """
-        events = await self._next_events()
-        if not events:
+        self._ready = await self._next_events()
+        if not self._ready and not self._may_be_empty():
             detail = "the stream ended before its first event"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
-        self._ready = events
+
+    def _may_be_empty(self):
+        # A caller that has all events may ask for what follows them.
+        is_continuation = self._exchange.request.header("last-event-id") is not None
+        return is_continuation and self._call.framing.tells_end
 
     def __aiter__(self):
         """
@@ -203,7 +211,7 @@
         if not is_unread:
             self._relay.note_broken(exchange, broken.server, exc)
         await broken.close()
-        if exchange.route.is_resumable and not is_unread:
+        if self._may_resume() and not is_unread:
             self._call = await self._relay.resume(exchange, exchange.last_event_id)
         if self._call is None:
             log_event(
@@ -216,6 +224,12 @@
             )
             raise BodyCut(f"{exc.reason} after event {exchange.last_event_id}")
         self._splitter = EventSplitter()
+        self._continues_after = exchange.last_event_id
+
+    def _may_resume(self):
+        # Without an id, a second server would begin anew.
+        exchange = self._exchange
+        return exchange.route.is_resumable and exchange.last_event_id is not None
 
     async def _next_events(self):
         """Read until at least one whole event is there; none at the end."""
@@ -223,9 +237,7 @@
             left_s = self._exchange.deadline_s - trio.current_time()
             chunk = await self._call.next_chunk(min(left_s, _LONGEST_GAP_S))
             if chunk is None:
-                if self._splitter.has_part:
-                    detail = "the stream ended within an event"
-                    raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+                self._check_end()
                 return []
             try:
                 events = self._splitter.feed(chunk)
@@ -235,10 +247,28 @@
                     Verdict.MAY_HAVE_RUN, "answer-garbled", detail
                 ) from exc
             if events:
+                self._check_continuation(events[0])
                 self._note_gap()
                 self._note_ids(events)
                 return events
 
+    def _check_end(self):
+        """Raise `CallFailed` unless the end may be the stream's."""
+        if self._splitter.has_part:
+            detail = "the stream ended within an event"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+        if self._call.framing.tells_end:
+            return
+        if self._continues_after is not None:
+            detail = "the connection ended before the first event"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+
+    def _check_continuation(self, event):
+        last_id, self._continues_after = self._continues_after, None
+        if last_id is not None and not _follows(event.id, last_id):
+            detail = f"event {event.id} does not follow event {last_id}"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "not-continued", detail)
+
     def _note_ids(self, events):
         # Also of events that are only read ahead: a server that goes on with the
         # stream must not give them once more.
@@ -255,3 +285,12 @@
             exchange.longest_gap_s = max(exchange.longest_gap_s, gap_s)
             self._call.note_gap(gap_s, exchange.route.target_gap_s)
         self._last_event_s = now
+
+
+def _follows(event_id, last_id):
+    """Tell whether an event may be the next one; ids increase, if they are numbers."""
+    if event_id is None:
+        return True
+    if event_id.isdecimal() and last_id.isdecimal():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
