Pass on an answer that only its connection ends as what it is

A caller of HTTP/1.0, which can't be sent chunks, saw each cut as the regular end.

Cause: the wire knew how the end of a server's answer was told; the place that frames the answer for the caller did not. The class: a promise that an answer is whole, made where nobody knows it.

Change: `Response.until_close`. Such an answer goes to the caller without length and chunks, with Connection: close, and ends with the connection; it is not refused, as a whole one must arrive. Until its body is whole, the socket is set to reset on close, so that a cut, an error, a slow reader, a stop and also a kill of the process all look like a cut and only the end of the body like the end. The same holds for streams to callers of HTTP/1.0. A stream that was begun in chunks and whose continuation ends with its connection between two events (end-not-told) is cut instead: the last chunk would claim what nobody knows, and its caller can ask for what follows.

Why it works: a length or a last chunk is written only where the server gave one.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -20,7 +20,7 @@
 _INTERNAL_ERROR = 500
 _NO_SERVER_RETRY_S = 0.5
 _REFUSALS = ("server-refused", "server-failed")
-_BLAMELESS = ("server-error", "not-continued")
+_BLAMELESS = ("server-error", "not-continued", "end-not-told")
 """Failures of an attempt that don't tell of the server's health."""
 _REROUTES = 3
 """Attempts that never reached a server, for one request: connections refused by
@@ -119,11 +119,11 @@
         return exchange.deadline_s
 
     async def _answer(self, exchange, call):
-        head = call.head
+        head, until_close = call.head, not call.framing.tells_end
         if _is_stream(exchange, call):
             relay = StreamRelay(self, exchange, call, self._read_ahead)
             await relay.start()
-            return Response(head.status, head.headers, relay)
+            return Response(head.status, head.headers, relay, until_close)
         with self._read_ahead.held.open() as holding:
             body = await call.read(self._until_s(exchange), holding)
         if head.status >= _INTERNAL_ERROR and self._may_ask_another(exchange):
@@ -132,7 +132,7 @@
         call.server.health.succeeded()
         self.note_answered(exchange, call)
         await call.close()
-        return Response(head.status, head.headers, body)
+        return Response(head.status, head.headers, body, until_close)
 
     def note_answered(self, exchange, call):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -45,6 +45,7 @@
         "_call",
         "_splitter",
         "_continues_after",
+        "_until_close",
         "_ready",
         "_last_event_s",
         "_read_ahead",
@@ -70,6 +71,7 @@
         # Id after which the call's answer has to begin; None once it has, and for the
         # first call.
         self._continues_after = None
+        self._until_close = not call.framing.tells_end
         self._ready = []
         self._last_event_s = None
 
@@ -262,6 +264,10 @@
         if self._continues_after is not None:
             detail = "the connection ended before the first event"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+        if not self._until_close:
+            # The caller was promised a last chunk, which says that all has come.
+            detail = "the connection ended between two events"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "end-not-told", detail)
 
     def _check_continuation(self, event):
         last_id, self._continues_after = self._continues_after, None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory_stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory_stream.py
@@ -159,6 +159,8 @@
     ----------
     local, peer : Address
         Ends of the connection.
+    resets_on_close : bool
+        See `gooseberryyoke_daemon.wire.network.set_reset_on_close`.
     """
 
     def __init__(self, outgoing, incoming):
@@ -168,6 +170,7 @@
         self._incoming = incoming
         self._sent_end = False
         self._closed = False
+        self.resets_on_close = False
 
     def is_readable(self):
         """Tell whether a read would return at once."""
@@ -210,6 +213,8 @@
         """Close both directions."""
         if not self._closed:
             self._closed = True
+            if self.resets_on_close:
+                self.reset()
             self._outgoing.put_end()
             self._incoming.close_reader()
         await trio.lowlevel.checkpoint()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/message.py
@@ -107,14 +107,18 @@
     body : bytes or async iterator of bytes
         An iterator is sent chunk by chunk; if it raises, the connection is cut,
         so that the peer can't take a part for the whole.
+    until_close : bool
+        The body ends with the connection, as nobody can tell that it is whole: a
+        length or a last chunk would claim it.
     """
 
-    __slots__ = ("status", "headers", "body")
+    __slots__ = ("status", "headers", "body", "until_close")
 
-    def __init__(self, status, headers=(), body=b""):
+    def __init__(self, status, headers=(), body=b"", until_close=False):
         self.status = status
         self.headers = _normalize(headers)
         self.body = body
+        self.until_close = until_close
 
     def header(self, name, default=None):
         """See `find_header`."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/network.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/network.py
@@ -1,11 +1,22 @@
 """Connections over TCP, with TLS where a context is given."""
 
+import socket
+import struct
+
 import trio
 
 from gooseberryyoke_daemon.wire.address import Address
 from gooseberryyoke_daemon.wire.datagram import UdpEndpoint
 
-__all__ = ["TcpNetwork", "has_pending_input", "listener_address"]
+__all__ = [
+    "TcpNetwork",
+    "has_pending_input",
+    "listener_address",
+    "set_reset_on_close",
+]
+
+_LINGER = struct.Struct("ii")
+"""On or off, and for how many seconds a close waits for what was not sent."""
 
 
 class TcpNetwork:
@@ -132,3 +143,23 @@
     if hasattr(stream, "socket"):
         return stream.socket.is_readable()
     return stream.is_readable()
+
+
+def set_reset_on_close(stream, is_on):
+    """
+    Have the close of a stream reset its connection instead of ending it.
+
+    It holds for the close by the kernel too, when the process is killed.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Of any network here.
+    is_on : bool
+    """
+    stream = getattr(stream, "transport_stream", stream)
+    if hasattr(stream, "socket"):
+        option = _LINGER.pack(is_on, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    else:
+        stream.resets_on_close = is_on
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server_channel.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server_channel.py
@@ -7,6 +7,9 @@
 
 __all__ = ["ServerChannel"]
 
+_LAST_WITHOUT_CHUNKS = b"1.0"
+_FIRST_WITH_CHUNKS = b"1.1"
+
 
 class ServerChannel(Channel):
     """
@@ -81,6 +84,16 @@
         self.early_bytes = 0
         self._on_end = on_end
 
+    @property
+    def sends_chunks(self):
+        """Whether the peer can be sent chunks; HTTP/1.0 has none."""
+        version = self.conn.their_http_version
+        return version is not None and version >= _FIRST_WITH_CHUNKS
+
+    def send_no_chunks(self):
+        """Have the answer end with the connection, as for a peer of HTTP/1.0."""
+        self.conn.their_http_version = _LAST_WITHOUT_CHUNKS
+
     def end_answer(self):
         """Go back to reading for the next request."""
         self._on_end = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -11,6 +11,7 @@
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS, Channel
 from gooseberryyoke_daemon.wire.exceptions import BodyCut, RequestRefused
 from gooseberryyoke_daemon.wire.message import problem_response
+from gooseberryyoke_daemon.wire.network import set_reset_on_close
 from gooseberryyoke_daemon.wire.reading import read_request, refusal_of
 from gooseberryyoke_daemon.wire.server_channel import ServerChannel
 
@@ -163,11 +164,24 @@
         if self._server.is_draining:
             headers.append(("connection", "close"))
         whole = isinstance(resp.body, bytes)
-        if whole and resp.status not in _BODYLESS:
+        no_body = req.method == "HEAD" or resp.status in _BODYLESS
+        if resp.until_close and not no_body:
+            self._channel.send_no_chunks()
+        elif whole and resp.status not in _BODYLESS:
             headers.append(("content-length", str(len(resp.body))))
         head = h11.Response(status_code=resp.status, headers=_encode(headers))
-        no_body = req.method == "HEAD" or resp.status in _BODYLESS
-        if whole:
+        has_length = whole and not resp.until_close
+        if no_body or has_length or self._channel.sends_chunks:
+            await self._send_body(head, resp, no_body)
+            return
+        # Until the body is whole, any end of the connection has to look like a cut.
+        set_reset_on_close(self._channel.stream, True)
+        await self._send_body(head, resp, no_body)
+        set_reset_on_close(self._channel.stream, False)
+        await _end_stream(self._channel.stream)
+
+    async def _send_body(self, head, resp, no_body):
+        if isinstance(resp.body, bytes):
             await self._send_whole(head, b"" if no_body else resp.body)
             return
         try:
@@ -229,6 +243,13 @@
         await _linger(channel.stream)
 
 
+async def _end_stream(stream):
+    if hasattr(stream, "send_eof"):
+        await stream.send_eof()
+    else:
+        await stream.aclose()
+
+
 async def _linger(stream):
     # Closing a socket with unread input resets the connection, and the peer may
     # lose the answer already sent; reading the rest for a while avoids it.
