Log the parts of a prompt under which an attempt failed, and how far it had got

Cause: requests of one kind ended one server after the other (BUDGET), and the line of a failed attempt told neither which parts its prompt had nor whether its answer had begun, so that nobody could connect two ends, nor tell the request that ended a server from those that merely ran there.

No decision reads them yet.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -14,6 +14,8 @@
         The caller's id of the attempt, for logs.
     received_s : float
         On trio's clock.
+    parts : tuple of str
+        Of its prompt, that other requests may have too.
 
     Attributes
     ----------
@@ -53,6 +55,7 @@
         "request",
         "number",
         "received_s",
+        "parts",
         "table",
         "route",
         "account",
@@ -73,7 +76,8 @@
         "last_event_id",
     )
 
-    def __init__(self, request, number, received_s):
+    def __init__(self, request, number, received_s, parts=()):
+        self.parts = parts
         self.request = request
         self.number = number
         self.received_s = received_s
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from gooseberryyoke.buffering import HeldBytes
+from gooseberryyoke.crash import shared_parts
 from gooseberryyoke.retry import RetryBudget
 from gooseberryyoke_daemon.gateway.admit import Admit
 from gooseberryyoke_daemon.gateway.call import ServerCalls
@@ -242,7 +243,8 @@
         Response
         """
         number = request.header(self._names.attempt_id, "")
-        exchange = Exchange(request, number, trio.current_time())
+        parts = shared_parts(request.header(self._names.prompt_parts))
+        exchange = Exchange(request, number, trio.current_time(), parts)
         result = await self._pipeline(exchange)
         if not isinstance(result, Failure):
             return result.unwrap()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -274,6 +274,8 @@
             reason=exc.reason,
             detail=exc.detail,
             verdict=exc.verdict.value,
+            events=exchange.events,
+            parts=",".join(exchange.parts),
             sent_ms=round((exchange.sent_s - exchange.received_s) * 1000),
             after_ms=round((now - exchange.received_s) * 1000),
         )
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
@@ -34,6 +34,8 @@
         Any of these has the milliseconds for which the server is still cold.
     priority : str
         From 0, the most urgent, to 9; a server admits by it.
+    prompt_parts : str
+        Parts of a request's prompt; see `gooseberryyoke.crash.shared_parts`.
     """
 
     __slots__ = (
@@ -48,6 +50,7 @@
         "not_run",
         "priority",
         "cold",
+        "prompt_parts",
     )
 
     def __init__(
@@ -63,7 +66,9 @@
         not_run="gooseberryyoke-not-run",
         priority="gooseberryyoke-priority",
         cold=("gooseberryyoke-cold-ms",),
+        prompt_parts="gooseberryyoke-prompt-parts",
     ):
+        self.prompt_parts = prompt_parts
         self.cold = tuple(cold)
         self.attempt_id = attempt_id
         self.deadline_ms = deadline_ms
