--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -0,0 +1,77 @@
+import pytest
+import trio
+
+from gooseberryyoke_daemon.testing.crash_fleet import DEADLY, run_fleet
+
+RATE = 20.0
+KNOWN_S, LOAD_S = 4.0, 30.0
+LEARNED_S = 3.0
+"""After the fifth crash, by which all gateways have to know."""
+MOST_SENT_ON = 3
+FIRST_PARTS = [f"first{number}" for number in range(4)]
+SECOND_PARTS = [f"second{number}" for number in range(20)]
+
+
+def sound(rng):
+    return [rng.choice(FIRST_PARTS), rng.choice(SECOND_PARTS)]
+
+
+def deadly_in(share):
+    """Make prompts of which a share has the deadly part, between sound ones."""
+
+    def parts(rng):
+        first, second = sound(rng)
+        return [first, DEADLY, second] if rng.random() < share else [first, second]
+
+    return parts
+
+
+def begun_at_first(answers):
+    """Give the share of sound requests that began at their first attempt."""
+    sound_ones = [answer for answer in answers if DEADLY not in answer.parts]
+    begun = [a for a in sound_ones if a.status == 200 and a.attempts == 1]
+    return len(begun) / len(sound_ones)
+
+
+def sent_on(fleet):
+    """Count the deadly requests that reached engines after all had to know."""
+    if len(fleet.crashes) < 5:
+        return 0
+    from_s = sorted(fleet.crashes)[4] + LEARNED_S
+    return sum(at >= from_s for at in fleet.deadly_arrivals)
+
+
+@pytest.mark.parametrize("share", [0.05, 0.2])
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_a_part_that_crashes_engines_is_sent_to_no_more_of_them(gateways, share):
+    """One engine after the other ends while nobody connects the ends."""
+    outcome = {}
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        answers = await fleet.ask_often(RATE, LOAD_S, deadly_in(share))
+        outcome["sent_on"] = sent_on(fleet)
+        outcome["served"] = begun_at_first(a for a in answers if a.sent_s > 20.0)
+
+    run_fleet(main, gateways, engines=6)
+    assert outcome["sent_on"] <= MOST_SENT_ON
+    assert outcome["served"] > 0.9
+
+
+def test_engines_that_crash_for_other_reasons_close_no_part():
+    """Parts that merely ran where an engine ended must not be refused for it."""
+    outcome = {}
+
+    async def crash_some(fleet):
+        for _ in range(8):
+            await trio.sleep(3.5)
+            fleet.crash_any()
+
+    async def main(fleet):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash_some, fleet)
+            outcome["answers"] = await fleet.ask_often(RATE, LOAD_S, sound)
+
+    run_fleet(main, gateways=4, engines=6)
+    failed = [answer for answer in outcome["answers"] if answer.status != 200]
+    assert not failed
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -1,11 +1,9 @@
 """Control processes on hosts with disks, which can be killed and emptied."""
 
-from contextlib import contextmanager
 from random import Random
 
 import trio
 import trio.testing
-from trio._core import _run as scheduler
 
 from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.routed.control import Control
@@ -18,6 +16,7 @@
     RankSettings,
 )
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
+from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
 from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
@@ -188,16 +187,5 @@
                 await main(ControlDeployment(nursery, seed, call_s))
                 nursery.cancel_scope.cancel()
 
-    with _seeded_scheduler(seed):
+    with seeded_scheduler(seed):
         trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
-@contextmanager
-def _seeded_scheduler(seed):
-    # trio has no public way to fix the order in which ready tasks take their turns.
-    before = scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r
-    scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r = True, Random(seed)
-    try:
-        yield
-    finally:
-        scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r = before
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -0,0 +1,337 @@
+"""Gateways before engines that crash on one part of a prompt."""
+
+from random import Random
+
+import trio
+import trio.testing
+
+from gooseberryyoke.crash import shared_parts
+from gooseberryyoke.membership.server_book import ServerEntry, ServerState
+from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.control import EntryPresence
+from gooseberryyoke_daemon.gateway import GatewayNode
+from gooseberryyoke_daemon.gateway.servers import Servers
+from gooseberryyoke_daemon.gateway.sharing import LoadSharing
+from gooseberryyoke_daemon.testing.routed import KEY, NAMES, sample_table
+from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
+from gooseberryyoke_daemon.wire import (
+    Address,
+    HttpClient,
+    HttpServer,
+    Limits,
+    Request,
+    Response,
+    WireError,
+)
+from gooseberryyoke_daemon.wire.memory import MemoryNetwork
+
+__all__ = ["Answer", "CrashFleet", "DEADLY", "run_fleet"]
+
+DEADLY = "dead"
+"""The part of a prompt on which engines crash."""
+_READ_S = 0.1
+_EVENTS = 10
+_EVENT_S = 0.03
+_DOWN_S = 3.0
+"""From the crash of an engine until it is announced again."""
+_CONNECT_S = 0.15
+_LATENCY_S = 0.001
+_DEADLINE_MS = 8000
+
+
+class Answer(Record):
+    """
+    What became of a request.
+
+    Parameters
+    ----------
+    sent_s : float
+        On trio's clock.
+    parts : tuple of str
+    status : int or None
+        None if the answer was broken off.
+    verdict : str or None
+        Of a gateway's own answer.
+    attempts : int
+        Engines at which the request arrived.
+    """
+
+    __slots__ = ("sent_s", "parts", "status", "verdict", "attempts")
+
+    def __init__(self, sent_s, parts, status, verdict, attempts):
+        self.sent_s = sent_s
+        self.parts = parts
+        self.status = status
+        self.verdict = verdict
+        self.attempts = attempts
+
+
+class _Engine:
+    """One life of an engine."""
+
+    def __init__(self, fleet, number, life):
+        self.id = f"e{number}-{life}"
+        self.number = number
+        self.life = life
+        self.address = Address(f"10.1.0.{number}", 80)
+        self.scope = trio.CancelScope()
+        self._fleet = fleet
+
+    async def run(self, task_status):
+        host = self._fleet.network.host(self.address.host)
+        listeners = await host.listen(self.address)
+        server = HttpServer(self.answer, Limits())
+        with self.scope:
+            await server.run(listeners, task_status=task_status)
+
+    async def answer(self, request):
+        parts = shared_parts(request.header(NAMES.prompt_parts))
+        self._fleet.note_arrival(request.header(NAMES.attempt_id), parts)
+        headers = [(NAMES.signature, "sig"), ("content-type", "text/event-stream")]
+        after = int(request.header("last-event-id", 0))
+        return Response(200, headers, self._events(parts, after))
+
+    async def _events(self, parts, after):
+        await trio.sleep(_READ_S)
+        if DEADLY in parts:
+            self._fleet.crash(self)
+        for number in range(after + 1, _EVENTS + 1):
+            yield b"id: %d\ndata: x\n\n" % number
+            await trio.sleep(_EVENT_S)
+
+
+class CrashFleet:
+    """
+    Several gateways that share engines.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    gateways, engines : int
+    seed : int
+
+    Attributes
+    ----------
+    network : MemoryNetwork
+    crashes : list of float
+        When engines crashed, on trio's clock.
+    deadly_arrivals : list of float
+        When requests with the deadly part reached engines.
+    """
+
+    def __init__(self, nursery, gateways, engines, seed):
+        self.network = MemoryNetwork(latency_s=_LATENCY_S)
+        self.rng = Random(seed)
+        self.crashes = []
+        self.deadly_arrivals = []
+        self.nodes = {}
+        self._servers = {}
+        self._engines = {}
+        self._arrivals = {}
+        self._nursery = nursery
+        self._scopes = {}
+        self._count = engines
+        self._asked = 0
+        self._there = {
+            f"g{number}": EntryPresence(
+                f"g{number}", f"10.7.0.{number}:80", f"10.7.0.{number}:71", "a", True
+            )
+            for number in range(gateways)
+        }
+
+    async def start(self):
+        """Start all engines, then all gateways."""
+        for number in range(self._count):
+            await self._start_engine(number, 1)
+        for name in self._there:
+            await self.start_gateway(name)
+
+    async def start_gateway(self, name):
+        """
+        Start a gateway that knows nothing but the engines.
+
+        Parameters
+        ----------
+        name : str
+        """
+        own = self._there[name]
+        host = self.network.host(Address.parse(own.internal).host)
+        servers = Servers("a", Random(self.rng.getrandbits(64)), name)
+        client = HttpClient(
+            host,
+            Limits(pool_connections=0),
+            keeps_host=True,
+            connect_timeout_s=_CONNECT_S,
+        )
+        rng = Random(self.rng.getrandbits(64))
+        node = GatewayNode(_FixedTable(), servers, client, NAMES, rng)
+        sharing = LoadSharing(
+            lambda: own,
+            lambda: self._there,
+            servers.peers,
+            host.datagrams(Address.parse(own.internal)),
+        )
+        self.nodes[name], self._servers[name] = node, servers
+        servers.take([self._entry(engine) for engine in self._engines.values()])
+        scope = self._scopes[name] = trio.CancelScope()
+        await self._nursery.start(self._run_gateway, scope, node, sharing, host, own)
+
+    async def _run_gateway(self, scope, node, sharing, host, own, task_status):
+        with scope:
+            async with trio.open_nursery() as nursery:
+                listeners = await host.listen(Address.parse(own.address))
+                await nursery.start(node.run, listeners)
+                await nursery.start(sharing.run)
+                task_status.started()
+
+    def kill_gateway(self, name):
+        """
+        End a gateway at once.
+
+        Parameters
+        ----------
+        name : str
+        """
+        self._scopes.pop(name).cancel()
+
+    async def _start_engine(self, number, life):
+        engine = self._engines[number] = _Engine(self, number, life)
+        await self._nursery.start(engine.run)
+
+    def _entry(self, engine):
+        return ServerEntry(
+            engine.id,
+            1000 * engine.life,
+            1,
+            "s",
+            str(engine.address),
+            "a",
+            6,
+            ServerState.READY,
+        )
+
+    def crash(self, engine):
+        """
+        End an engine at once; it comes back as a new one.
+
+        Parameters
+        ----------
+        engine : _Engine
+        """
+        if engine.scope.cancel_called:
+            return
+        engine.scope.cancel()
+        self.crashes.append(trio.current_time())
+        self._nursery.start_soon(self._bring_back, engine)
+
+    async def _bring_back(self, engine):
+        await trio.sleep(_DOWN_S)
+        await self._start_engine(engine.number, engine.life + 1)
+        entry = self._entry(self._engines[engine.number])
+        for servers in self._servers.values():
+            servers.take([entry])
+
+    def crash_any(self):
+        """Crash an engine for a reason that lies in no request."""
+        running = [e for e in self._engines.values() if not e.scope.cancel_called]
+        self.crash(self.rng.choice(running))
+
+    def note_arrival(self, number, parts):
+        """
+        Count a request that has reached an engine.
+
+        Parameters
+        ----------
+        number : str
+        parts : tuple of str
+        """
+        self._arrivals[number] = self._arrivals.get(number, 0) + 1
+        if DEADLY in parts:
+            self.deadly_arrivals.append(trio.current_time())
+
+    async def ask(self, parts, answers, gateway=None):
+        """
+        Send a request and note what becomes of it.
+
+        Parameters
+        ----------
+        parts : sequence of str
+            Of its prompt; one of its own is added.
+        answers : list of Answer
+            Appended to.
+        gateway : str, optional
+            By default any.
+        """
+        self._asked += 1
+        number = f"r{self._asked}"
+        entry = self._there[gateway or self.rng.choice(sorted(self._scopes))]
+        prompt = ",".join(f"{part}:40" for part in [*parts, f"own{number}"])
+        headers = [
+            ("host", "h.example"),
+            (NAMES.attempt_id, number),
+            (NAMES.deadline_ms, str(_DEADLINE_MS)),
+            (NAMES.prompt_parts, prompt),
+            ("authorization", f"Bearer {KEY}"),
+        ]
+        request = Request("POST", "/draw/x", headers, b"body")
+        caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
+        sent_s, status, verdict = trio.current_time(), None, None
+        try:
+            async with caller.open(Address.parse(entry.address), request) as reply:
+                await reply.read()
+                status = reply.status
+                verdict = reply.header("gooseberryyoke-verdict")
+        except WireError:
+            # Broken off: the status stays None.
+            status = None
+        attempts = self._arrivals.get(number, 0)
+        answers.append(Answer(sent_s, tuple(parts), status, verdict, attempts))
+
+    async def ask_often(self, rate, for_s, parts_of):
+        """
+        Send requests at a rate.
+
+        Parameters
+        ----------
+        rate, for_s : float
+            Requests a second, and for how many seconds.
+        parts_of : callable
+            Takes a random generator and gives the parts of a prompt.
+
+        Returns
+        -------
+        list of Answer
+        """
+        answers = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(round(rate * for_s)):
+                nursery.start_soon(self.ask, parts_of(self.rng), answers)
+                await trio.sleep(1 / rate)
+        return answers
+
+
+class _FixedTable:
+    table = sample_table()
+    first_after_s = 0.0
+
+
+def run_fleet(main, gateways=3, engines=10, seed=1):
+    """
+    Run a test on a fleet, on a clock that jumps.
+
+    Parameters
+    ----------
+    main : async callable
+        Takes the `CrashFleet`.
+    gateways, engines, seed : int
+    """
+
+    async def body():
+        async with trio.open_nursery() as nursery:
+            fleet = CrashFleet(nursery, gateways, engines, seed)
+            await fleet.start()
+            await main(fleet)
+            nursery.cancel_scope.cancel()
+
+    with seeded_scheduler(seed):
+        trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
