Send no request whose prompt has a part that servers end under

Cause: nobody connected the ends. A request under which a server ended went to the next one a few ms later, the next request with the part to any, and which parts a prompt has was read nowhere. The class: work that harms the one that does it is tried again elsewhere, and nothing but the one that does it is held to account.

Engines that crash for other reasons fail no request, as before.

Change: an end is told from a cut link by asking whether the server still listens. The shared parts of requests that had not held are suspected; an answer that gives events for half a second proves its parts. After one end a part's requests wait for one that is sent on trial, over all gateways; after two they are refused at once, truthfully not run. A first form answered a record with a record to all, and two gateways whose proofs lay a rounding apart corrected each other for ever; ages within 0.05 s of each other are taken for the same now, and the answer goes to the teller alone.

Why it works: a part that ends each server gets two of them, then one each 30 s, 2 and 10 minutes, and none from the fifth on; a part that merely ran there is proven by the first request that is sent, about a second later.

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -0,0 +1,140 @@
+"""Tells other gateways of parts of prompts that servers ended under."""
+
+from functools import partial
+
+import orjson
+import trio
+
+from gooseberryyoke.crash import pack_record, take_record
+
+__all__ = ["CrashNews"]
+
+_REPEAT_S = 1.0
+_REPEATED_TO = 8
+"""Other gateways that all is repeated to each time, in turn."""
+_DATAGRAM_BYTES = 1000
+"""Of records; longer datagrams would be sent in parts, and be lost with any of them."""
+
+
+class CrashNews:
+    """
+    Tells changes to all gateways at once, and repeats what is known to some of them.
+
+    Parameters
+    ----------
+    suspects : Suspects
+    gateway : str
+        Name of this one.
+    on_change : callable
+        Called when another gateway's word has changed what is known.
+    """
+
+    __slots__ = (
+        "_suspects",
+        "_gateway",
+        "_on_change",
+        "_unsent",
+        "_wanted",
+        "_first",
+    )
+
+    def __init__(self, suspects, gateway, on_change):
+        self._suspects = suspects
+        self._gateway = gateway
+        self._on_change = on_change
+        self._unsent = {}
+        self._wanted = trio.Event()
+        self._first = 0
+
+    def tell(self, parts):
+        """
+        Tell all gateways what is known of some parts.
+
+        Parameters
+        ----------
+        parts : iterable of str
+        """
+        self._unsent.update(dict.fromkeys(parts))
+        if self._unsent:
+            self._wanted.set()
+
+    async def run(self, send, others):
+        """
+        Tell and repeat until cancelled.
+
+        Parameters
+        ----------
+        send : callable
+            Asynchronous; takes receivers and a list of packed records.
+        others : callable
+            Gives the other gateways.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tell_changes, send, others)
+            while True:
+                await trio.sleep(_REPEAT_S)
+                self._suspects.forget(trio.current_time())
+                parts = self._suspects.parts()
+                await self._send(send, self._next_receivers(others()), parts)
+
+    async def _tell_changes(self, send, others):
+        while True:
+            await self._wanted.wait()
+            self._wanted = trio.Event()
+            parts, self._unsent = list(self._unsent), {}
+            await self._send(send, others(), parts)
+
+    def _next_receivers(self, others):
+        others = sorted(others, key=lambda entry: entry.name)
+        if len(others) <= _REPEATED_TO:
+            return others
+        first = self._first % len(others)
+        self._first = first + _REPEATED_TO
+        return (others + others)[first : first + _REPEATED_TO]
+
+    async def _send(self, send, receivers, parts):
+        now = trio.current_time()
+        records, length_bytes = [], 0
+        for record in self._pack(parts, now):
+            size_bytes = len(orjson.dumps(record))
+            if records and length_bytes + size_bytes > _DATAGRAM_BYTES:
+                await send(receivers, records)
+                records, length_bytes = [], 0
+            records.append(record)
+            length_bytes += size_bytes
+        if records:
+            await send(receivers, records)
+
+    def take(self, gateway, records):
+        """
+        Take what another gateway tells.
+
+        Parameters
+        ----------
+        gateway : str
+        records : list of list
+
+        Returns
+        -------
+        list of list
+            Records of which the other gateway lacks something.
+
+        Raises
+        ------
+        TypeError, ValueError, AttributeError
+            If one has another form; those before it are taken.
+        """
+        now = trio.current_time()
+        changed, behind = False, []
+        for record in records:
+            is_new, is_behind = take_record(self._suspects, record, gateway, now)
+            changed |= is_new
+            if is_behind:
+                behind.append(record[0])
+        if changed:
+            self._on_change()
+        return self._pack(behind, now)
+
+    def _pack(self, parts, now):
+        pack = partial(pack_record, self._suspects, gateway=self._gateway, now=now)
+        return [pack(part) for part in parts]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -49,6 +49,8 @@
         Of a stream, that came from servers.
     last_event_id : str or None
         Of the last one of them that had an id.
+    is_on_trial : bool
+        Its attempt shows whether a part of its prompt crashes servers.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "longest_gap_s",
         "events",
         "last_event_id",
+        "is_on_trial",
     )
 
     def __init__(self, request, number, received_s, parts=()):
@@ -99,6 +102,7 @@
         self.longest_gap_s = 0.0
         self.events = 0
         self.last_event_id = None
+        self.is_on_trial = False
 
     @property
     def ahead(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -14,6 +14,7 @@
 from gooseberryyoke_daemon.gateway.exchange import Exchange
 from gooseberryyoke_daemon.gateway.identify import Identify
 from gooseberryyoke_daemon.gateway.observer import GatewayObserver
+from gooseberryyoke_daemon.gateway.quarantine import Quarantine
 from gooseberryyoke_daemon.gateway.read_ahead import ReadAhead
 from gooseberryyoke_daemon.gateway.relay import Relay
 from gooseberryyoke_daemon.gateway.stopping import Stopping
@@ -73,6 +74,10 @@
         Without one, nothing is held after a stop of the process.
     held : HeldBytes, optional
         Bound on bodies that are held; without one there is none.
+
+    Attributes
+    ----------
+    quarantine : Quarantine
     """
 
     def __init__(
@@ -100,11 +105,13 @@
         servers.shared.observer = self.observer
         servers.peers.own_waiting = self._admit.waiting
         self._stopping = Stopping()
+        self.quarantine = Quarantine(servers.name, client, self.observer)
         self._shown_evacuated = set()
         self._pipeline = Pipeline(
             [
                 Identify(lambda: watcher.table, names, rng, warm_up),
                 self._stopping,
+                self.quarantine,
                 self._admit,
                 Relay(
                     servers,
@@ -113,6 +120,7 @@
                     self.observer,
                     self._admit,
                     self._read_ahead,
+                    self.quarantine,
                     awake,
                 ),
             ]
@@ -164,6 +172,9 @@
         metrics.set("held_bytes", self._held.total)
         metrics.set("answers_read_ahead", self._read_ahead.count)
         metrics.set("memory_refusals", self._server.counts["refused-memory-full"])
+        suspected, quarantined = self.quarantine.suspects.count(trio.current_time())
+        metrics.set("prompt_parts_suspected", suspected)
+        metrics.set("prompt_parts_quarantined", quarantined)
         for service, count in self._servers.count_by_service().items():
             metrics.set("servers", count, service=service)
         for service, count in self._servers.count_in_backoff().items():
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -96,6 +96,28 @@
         """
         self._put("count", "ends_not_told_total", {"service": service})
 
+    def server_ended_under(self, service):
+        """
+        Note that a server ended under a request whose answer had hardly begun.
+
+        Parameters
+        ----------
+        service : str
+        """
+        self._put("count", "ends_under_requests_total", {"service": service})
+
+    def parts_cleared(self, service, count):
+        """
+        Note that parts of a prompt which ends were held against are sound.
+
+        Parameters
+        ----------
+        service : str
+        count : int
+        """
+        for _ in range(count):
+            self._put("count", "prompt_parts_cleared_total", {"service": service})
+
     def slot_assigned_twice(self, service):
         """
         Note that all slots of an engine were taken when a request came to it.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -45,6 +45,8 @@
         Where a request waits again that a server has turned away.
     read_ahead : ReadAhead
         Reads on for callers that read slowly.
+    quarantine : Quarantine
+        Asked before each attempt.
     awake : AwakeCheck, optional
         Asked before each choice of a server.
     """
@@ -56,11 +58,23 @@
         "_calls",
         "_budget",
         "_observer",
+        "_quarantine",
         "_read_ahead",
     )
 
-    def __init__(self, servers, calls, budget, observer, admit, read_ahead, awake=None):
+    def __init__(
+        self,
+        servers,
+        calls,
+        budget,
+        observer,
+        admit,
+        read_ahead,
+        quarantine,
+        awake=None,
+    ):
         self._awake = awake
+        self._quarantine = quarantine
         self._read_ahead = read_ahead
         self._admit = admit
         self._observer = observer
@@ -75,10 +89,15 @@
         unsent = 0
         while True:
             await self._until_heard()
+            refusal = await self._quarantine.clear_to_send(exchange)
+            if refusal is not None:
+                return Failure(refusal)
             if trio.current_time() >= exchange.deadline_s:
+                self._quarantine.note_over(exchange)
                 return Failure(self._out_of_time(exchange))
             server = self._choose(exchange)
             if server is None:
+                self._quarantine.note_over(exchange)
                 return Failure(self._no_server(exchange))
             try:
                 return Success(await self._attempt(exchange, server))
@@ -110,6 +129,14 @@
             await call.close()
             raise
 
+    def note_held(self, exchange):
+        """See `Quarantine.note_held`."""
+        self._quarantine.note_held(exchange)
+
+    def note_over(self, exchange):
+        """See `Quarantine.note_over`."""
+        self._quarantine.note_over(exchange)
+
     def _until_s(self, exchange):
         """Give a first attempt a part of the time if another may follow."""
         route, now = exchange.route, trio.current_time()
@@ -194,13 +221,16 @@
         """
         while True:
             await self._until_heard()
+            if await self._quarantine.clear_to_send(exchange) is not None:
+                return None
             server = self._choose(exchange)
             if server is None or not self._may_try_again(exchange):
+                self._quarantine.note_over(exchange)
                 return None
             try:
                 return await self._continue_at(exchange, server, last_event_id)
             except CallFailed as exc:
-                self.note_broken(exchange, server, exc)
+                await self.attempt_failed(exchange, server, exc)
 
     async def _continue_at(self, exchange, server, last_event_id):
         exchange.tried.add(server.entry.id)
@@ -233,7 +263,7 @@
 
     async def _after(self, exchange, server, exc, unsent):
         """Decide what follows a failed attempt: None for another one."""
-        self.note_broken(exchange, server, exc)
+        await self.attempt_failed(exchange, server, exc)
         if exc.reason == "not-connected":
             exchange.sends -= 1
             if unsent <= _REROUTES and trio.current_time() < exchange.deadline_s:
@@ -244,16 +274,22 @@
             return None
         return self._give_up(exchange, exc)
 
-    def note_broken(self, exchange, server, exc):
+    async def attempt_failed(self, exchange, server, exc, has_held=False):
         """
-        Note that a server failed an attempt.
+        Note that a server failed an attempt, and find out whether it has ended.
 
         Parameters
         ----------
         exchange : Exchange
         server : Server
         exc : CallFailed
+        has_held : bool
+            Its answer had given events for a while.
         """
+        self._note_broken(exchange, server, exc)
+        await self._quarantine.note_failed(exchange, server, exc, has_held)
+
+    def _note_broken(self, exchange, server, exc):
         exchange.verdict = exchange.verdict.then(exc.verdict)
         now = trio.current_time()
         if exc.reason in _REFUSALS and server.backoff.is_on(now):
--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server_ends.py
@@ -0,0 +1,85 @@
+"""Finds out whether a server has ended."""
+
+from collections import OrderedDict
+
+import trio
+
+__all__ = ["ServerEnds", "life_of"]
+
+_LOOK_AGAIN_S = 0.05
+"""A process that ends may close its connections before it stops listening."""
+_MOST_KEPT = 256
+
+
+def life_of(server):
+    """
+    Name the life of a server: the same for all gateways, another one after a restart.
+
+    Parameters
+    ----------
+    server : Server
+
+    Returns
+    -------
+    str
+    """
+    return f"{server.entry.id}/{server.entry.born_ms}"
+
+
+class ServerEnds:
+    """
+    Asks servers whether anybody still listens.
+
+    A server that has ended refuses connections. One that cuts some of them off, that is
+    frozen or that can't be reached does not.
+
+    Parameters
+    ----------
+    client : HttpClient
+    """
+
+    __slots__ = ("_client", "_ended", "_looks")
+
+    def __init__(self, client):
+        self._client = client
+        self._ended = OrderedDict()
+        self._looks = {}
+
+    async def has_ended(self, server):
+        """
+        Tell whether a server's present life is over.
+
+        Parameters
+        ----------
+        server : Server
+
+        Returns
+        -------
+        bool
+            False also if that can't be told.
+        """
+        life = life_of(server)
+        while life not in self._ended:
+            if life in self._looks:
+                # Many requests break at once where a server ends.
+                await self._looks[life].wait()
+                continue
+            if not await self._look(life, server.address):
+                return False
+        return True
+
+    async def _look(self, life, address):
+        look = self._looks[life] = trio.Event()
+        try:
+            is_refused = await self._client.is_refused(address)
+            if not is_refused:
+                await trio.sleep(_LOOK_AGAIN_S)
+                is_refused = await self._client.is_refused(address)
+            if is_refused:
+                self._ended[life] = trio.current_time()
+                if len(self._ended) > _MOST_KEPT:
+                    self._ended.popitem(last=False)
+            return is_refused
+        finally:
+            del self._looks[life]
+            look.set()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -46,7 +46,7 @@
     data_centre : str
     rng : random.Random
     name : str
-        Of this gateway.
+        Of this gateway; kept.
     contention : ContentionPolicy, optional
         Without one, no service is managed for contention.
     cold_overage, cold_slack : float
@@ -71,13 +71,13 @@
         "contention",
         "group_limits",
         "evacuation",
+        "name",
         "peers",
         "shared",
         "_book",
         "_by_id",
         "_by_service",
         "_data_centre",
-        "_name",
         "_pulses",
         "_rng",
     )
@@ -93,7 +93,7 @@
     ):
         self.contention = contention or ContentionPolicy(inf)
         self.evacuation = EvacuationState()
-        self._name = name
+        self.name = name
         self._book = ServerBook()
         self._by_id = {}
         self._by_service = {}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -44,6 +44,8 @@
     PASSED_ON = 2
     ANNOUNCED = 3
     """Counts of single servers, sent straight to all gateways; see `SlotNews`."""
+    CRASHES = 4
+    """Records of `CrashNews`, sent straight to gateways."""
 
 
 _NAMED_HOPS = (_Hop.BETWEEN, _Hop.ANNOUNCED)
@@ -159,6 +161,8 @@
         Takes the names of those that are there, before each round.
     slot_news : SlotNews, optional
         What is announced between two rounds.
+    crash_news : CrashNews, optional
+        Parts of prompts that servers ended under.
     """
 
     def __init__(
@@ -169,8 +173,10 @@
         endpoint,
         use_names=lambda names: None,
         slot_news=None,
+        crash_news=None,
     ):
         self._slot_news = slot_news or SlotNews()
+        self._crash_news = crash_news
         self._use_names = use_names
         self._presence = presence
         self._there = there
@@ -192,6 +198,9 @@
                 nursery.start_soon(self._listen)
                 nursery.start_soon(self._tell)
                 nursery.start_soon(self._slot_news.run, self._announce)
+                if self._crash_news is not None:
+                    run, others = self._crash_news.run, self._all_others
+                    nursery.start_soon(run, self._tell_crashes, others)
         finally:
             self._endpoint.close()
 
@@ -201,6 +210,24 @@
             news = _News(self._presence().name, counts, False, {}, {})
             await self._send(_Hop.ANNOUNCED, receivers, [news])
 
+    def _all_others(self):
+        return self._others(self._there())
+
+    async def _tell_crashes(self, receivers, records):
+        own = orjson.dumps(self._presence().name)
+        data = b"[%d,%s,%s]" % (_Hop.CRASHES, own, orjson.dumps(records))
+        for receiver in receivers:
+            await self._send_to(receiver, data)
+
+    async def _take_crashes(self, sender, records):
+        there = self._there()
+        if not self._is_other(sender, there):
+            self._refuse(sender, "ends of servers told by an unknown gateway")
+        elif self._crash_news is not None:
+            lacking = self._crash_news.take(sender, records)
+            if lacking:
+                await self._tell_crashes([there[sender]], lacking)
+
     async def _tell(self):
         told_all_s = float("-inf")
         while True:
@@ -318,6 +345,9 @@
         while True:
             try:
                 hop, sender, packed = orjson.loads(await self._endpoint.receive())
+                if hop == _Hop.CRASHES:
+                    await self._take_crashes(sender, packed)
+                    continue
                 news = [_News.from_json(item) for item in packed]
                 # Asked once: it takes longer than all else in a datagram.
                 is_needed = hop in _NAMED_HOPS or any(map(_needs_sender, news))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -5,6 +5,7 @@
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke.stream.events import EventSplitter
 from gooseberryyoke_daemon.gateway.call import CallFailed
+from gooseberryyoke_daemon.gateway.quarantine import HELD_S
 from gooseberryyoke_daemon.gateway.stream_buffer import StreamBuffer
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.wire import BodyCut
@@ -45,6 +46,7 @@
         "_call",
         "_splitter",
         "_continues_after",
+        "_has_held",
         "_until_close",
         "_ready",
         "_last_event_s",
@@ -71,6 +73,7 @@
         # Id after which the call's answer has to begin; None once it has, and for the
         # first call.
         self._continues_after = None
+        self._has_held = False
         self._until_close = not call.framing.tells_end
         self._ready = []
         self._last_event_s = None
@@ -121,6 +124,7 @@
                 self._ready = await self._next_ready()
             if self._splitter.rest:
                 yield self._splitter.rest
+            self._relay.note_held(self._exchange)
             self._call.server.health.succeeded()
             self._relay.note_answered(self._exchange, self._call)
         finally:
@@ -133,6 +137,7 @@
         return await self._buffer.take()
 
     async def _end(self):
+        self._relay.note_over(self._exchange)
         if self._buffer is not None:
             self._reading.cancel()
             with trio.CancelScope(shield=True):
@@ -210,9 +215,10 @@
         # A server that was not read for long has cut the stream off rightly. Made again
         # by another one, it would meet the same caller.
         is_unread = self._buffer is not None and self._buffer.waited_s > _UNREAD_S
-        if not is_unread:
-            self._relay.note_broken(exchange, broken.server, exc)
         await broken.close()
+        if not is_unread:
+            held, self._has_held = self._has_held, False
+            await self._relay.attempt_failed(exchange, broken.server, exc, held)
         if self._may_resume() and not is_unread:
             self._call = await self._relay.resume(exchange, exchange.last_event_id)
         if self._call is None:
@@ -250,10 +256,19 @@
                 ) from exc
             if events:
                 self._check_continuation(events[0])
+                self._note_held()
                 self._note_gap()
                 self._note_ids(events)
                 return events
 
+    def _note_held(self):
+        if self._has_held:
+            return
+        call = self._call
+        if trio.current_time() - call.sent_s - call.first_s >= HELD_S:
+            self._has_held = True
+            self._relay.note_held(self._exchange)
+
     def _check_end(self):
         """Raise `CallFailed` unless the end may be the stream's."""
         if self._splitter.has_part:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -109,6 +109,16 @@
         "whole one from one that was cut off between two events.",
         ("service",),
     ),
+    Definition(
+        "ends_under_requests_total",
+        "Requests of this gateway under which a server ended before the answer held.",
+        ("service",),
+    ),
+    Definition(
+        "prompt_parts_cleared_total",
+        "Parts of prompts that ends of servers were held against, proven sound since.",
+        ("service",),
+    ),
     Definition(
         "slots_assigned_twice_total",
         "Requests of this gateway that met an engine with all slots taken.",
@@ -152,6 +162,14 @@
         "Until the certificate of a port expires; below 0 if it has.",
         ("port",),
     ),
+    Definition(
+        "prompt_parts_suspected",
+        "Parts of prompts whose requests wait for one that is sent on trial.",
+    ),
+    Definition(
+        "prompt_parts_quarantined",
+        "Parts of prompts whose requests are refused, as servers ended under them.",
+    ),
     Definition("servers", "Backend servers that take requests.", ("service",)),
     Definition(
         "servers_in_backoff",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -109,6 +109,7 @@
             network.datagrams(settings.node.internal),
             self._use_names,
             self.servers.shared.news,
+            self.node.quarantine.news,
         )
 
     async def _load_metrics(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -170,6 +170,7 @@
             lambda: self._there,
             servers.peers,
             host.datagrams(Address.parse(own.internal)),
+            crash_news=node.quarantine.news,
         )
         self.nodes[name], self._servers[name] = node, servers
         servers.take([self._entry(engine) for engine in self._engines.values()])
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -1,5 +1,6 @@
 """The HTTP client: exchanges with a verdict when they fail."""
 
+import errno
 from contextlib import asynccontextmanager
 
 import h11
@@ -186,6 +187,27 @@
                 return _decode(address, reply, await reply.read())
         raise ExchangeBroken(address, f"no whole reply within {timeout_s:g} s")
 
+    async def is_refused(self, address):
+        """
+        Tell whether nothing listens at an address.
+
+        Parameters
+        ----------
+        address : Address
+
+        Returns
+        -------
+        bool
+            False also if nobody answers in time.
+        """
+        with trio.move_on_after(_or_forever(self._connect_timeout_s)):
+            try:
+                stream = await self._network.connect(address)
+            except OSError as exc:
+                return _is_refusal(exc)
+            await trio.aclose_forcefully(stream)
+        return False
+
     async def aclose(self):
         """Close the kept connections."""
         await self._pool.aclose()
@@ -357,6 +379,12 @@
     return reply.status == _REQUEST_TIMEOUT and not_run
 
 
+def _is_refusal(exc):
+    # trio raises an error of its own, from that of the only address it tried.
+    cause = exc if exc.errno is not None else exc.__cause__
+    return getattr(cause, "errno", None) == errno.ECONNREFUSED
+
+
 def _or_forever(timeout_s):
     return float("inf") if timeout_s is None else timeout_s
 
