--- a/packages/gooseberryyoke/src/gooseberryyoke/claim/tests/test_claim.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/claim/tests/test_claim.py
@@ -19,6 +19,7 @@
     decide_on_claim,
     decide_on_outcome,
     decode_claim,
+    encode_answer,
     encode_claim,
     is_expired,
     keep_answer,
@@ -139,3 +140,16 @@
     ledger = AttemptLedger("life-1")
     with pytest.raises(KeyError):
         ledger.finish("a1", ANSWER, 0.0)
+
+
+def test_a_kept_answer_tells_how_it_ended():
+    """Given again without it, an answer that may be cut gets a length."""
+    kept = keep_answer(201, [], b"some", 100, until_close=True)
+    claim = SETTLED.replace(answer=kept)
+    assert decode_claim(encode_claim(claim)).answer.until_close
+    assert not decode_claim(encode_claim(SETTLED)).answer.until_close
+
+
+def test_the_form_of_an_answer_whose_end_was_told_has_not_changed():
+    """Entries of an earlier release read exactly these five fields."""
+    assert len(encode_answer(ANSWER)) == 5
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_stream.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_stream.py
@@ -112,3 +112,29 @@
         for frame in frames[: rng.randint(1, len(frames))]:
             got += answer.accept(frame)
     assert got == b"".join(pieces)
+
+
+def test_an_end_that_only_a_connection_tells_reaches_the_reader():
+    """An entry that is not told frames the answer as whole for its caller."""
+    log = FrameLog("a")
+    log.head(200, [("x", "y")], until_close=True)
+    (head,) = map(decode_frame, map(encode_frame, log.frames_from(0)))
+    assert head == HeadFrame("a", 200, [("x", "y")], until_close=True)
+    assert head != HeadFrame("a", 200, [("x", "y")])
+
+
+@pytest.mark.parametrize(
+    ("field", "expected"),
+    [(b"", False), (b',"until_close":false', False), (b',"until_close":true', True)],
+    ids=["of an earlier release", "told", "not told"],
+)
+def test_heads_of_each_release_are_read(field, expected):
+    """Agents and entries are replaced one by one; each reads the other's heads."""
+    line = b'{"a":"a","k":"head","status":200,"headers":[],"later":1%b}' % field
+    assert decode_frame(line).until_close is expected
+
+
+def test_the_head_of_an_answer_whose_end_is_told_has_not_changed():
+    """An earlier release reads it as before."""
+    line = b'{"a":"a","k":"head","status":200,"headers":[]}\n'
+    assert encode_frame(HeadFrame("a", 200, [])) == line
