Search each byte of an event stream once

What callers saw: nothing yet. A gateway that passes on a long event stands still for the time that the search takes, and with it all of its other requests.

Cause: `EventSplitter` searched a growing event from its first byte at each piece.

The new test passes before and after; it fails if the search goes on three bytes too late.

Change: the search goes on three bytes before the end of what it has seen.

Why it works: the longest blank line has four bytes, so that one which begins earlier was found already.

--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
@@ -9,6 +9,7 @@
 _MEDIA_TYPE = "text/event-stream"
 _END_OF_EVENT = re.compile(rb"(?>\r\n|\r|\n){2}")
 """Atomic, as a carriage return and its line feed are not two line ends."""
+_LONGEST_END_BYTES = 4
 
 
 def is_event_stream(content_type):
@@ -59,11 +60,12 @@
         Longest event; a stream without blank lines must not fill the memory.
     """
 
-    __slots__ = ("_buffer", "_max_bytes")
+    __slots__ = ("_buffer", "_max_bytes", "_searched_bytes")
 
     def __init__(self, max_bytes=1024 * 1024):
         self._buffer = bytearray()
         self._max_bytes = max_bytes
+        self._searched_bytes = 0
 
     @property
     def has_part(self):
@@ -94,11 +96,15 @@
         """
         self._buffer += data
         events = []
-        while found := _END_OF_EVENT.search(self._buffer):
+        while found := _END_OF_EVENT.search(self._buffer, self._searched_bytes):
             raw = bytes(self._buffer[: found.end()])
             del found
             del self._buffer[: len(raw)]
+            self._searched_bytes = 0
             events.append(Event(raw, _id_of(raw)))
+        # The end of the event may have begun in the last bytes. From the first byte
+        # on, each piece of a long event would be searched as often as pieces follow.
+        self._searched_bytes = max(0, len(self._buffer) - _LONGEST_END_BYTES + 1)
         if len(self._buffer) > self._max_bytes:
             raise ValueError(f"event longer than {self._max_bytes} bytes")
         return events
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
@@ -51,3 +51,15 @@
     splitter = EventSplitter()
     splitter.feed(b"id: 1\n\n\n")
     assert (splitter.rest, splitter.has_part) == (b"\n", False)
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r", b"\r\n"], ids=["LF", "CR", "CRLF"])
+@pytest.mark.parametrize("size", [2, 3, 4, 5, 7])
+def test_the_end_of_an_event_is_found_across_pieces(line_end, size):
+    """The search goes on where it stopped, which may be within the blank line."""
+    stream = b"".join(b"data: %b" % (b"x" * n) + line_end * 2 for n in range(1, 9))
+    splitter, events = EventSplitter(), []
+    for start in range(0, len(stream), size):
+        events += splitter.feed(stream[start : start + size])
+    assert [len(event.data.strip()) for event in events] == list(range(7, 15))
+    assert b"".join(event.data for event in events) + splitter.rest == stream
