Have agent and entry pass on an answer that only its connection ends as what it is

A stream of events that ended within an event was passed on as whole. An answer to a request that may not be repeated was kept and given again in the same way.

Cause: the agent knew how the end of the answer was told. Neither its frames nor the claims carried it, so that the entry framed each answer itself. The agent's end frame tells that all which it got has arrived, not that the server has sent all.

Change: the head frame has `until_close`, decided by `Reply.framing`; a head without it means as before that the server tells the end. The entry's `Response` and the kept answer take it over. A stream of events without framing that ends within an event is an attempt that aborted (answer-cut, may-have-run). Where chunks were begun for a first attempt and only its connection ends the second one, that attempt has failed (end-not-told): another one may follow; otherwise the connection is cut.

Why it works: a length or a last chunk is written only where the server gave one. The head is in the agent's log with the rest, so that it holds for reading that is resumed and for an entry that fetches the answer of one that died.

Releases side by side: frames and claims of answers whose end is told have not changed. Earlier entries leave the new field out. In a claim the mark is the header Connection: close, as earlier entries read exactly five fields of a kept answer; they pass it on.

Also: one test of the claims' form now covers both kinds of answers.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -4,6 +4,7 @@
 from trio import move_on_after
 
 from gooseberryyoke.outcome import Verdict
+from gooseberryyoke.stream.events import EventSplitter, is_event_stream
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.server_report import read_report
 from gooseberryyoke_daemon.wire import WireError
@@ -102,16 +103,32 @@
             report = read_report(reply.status, reply.headers, self._names)
             self._hear(report, attempt)
             headers = [pair for pair in reply.headers if _is_passed_on(pair[0])]
-            attempt.log.head(reply.status, headers)
+            attempt.log.head(reply.status, headers, not reply.framing.tells_end)
             attempt.notify()
-            async for chunk in reply.chunks():
-                attempt.log.data(bytes(chunk))
-                attempt.notify()
-                if attempt.log.size_bytes > self._answer_bytes:
-                    detail = f"more than {self._answer_bytes} bytes"
-                    attempt.log.abort(Verdict.RAN, "answer-too-long", detail)
-                    return
-        attempt.log.end()
+            await self._relay_body(attempt, reply)
+
+    async def _relay_body(self, attempt, reply):
+        splitter = EventSplitter(self._answer_bytes)
+        is_split = _only_events_tell_a_cut(reply)
+        async for chunk in reply.chunks():
+            attempt.log.data(bytes(chunk))
+            attempt.notify()
+            if attempt.log.size_bytes > self._answer_bytes:
+                detail = f"more than {self._answer_bytes} bytes"
+                attempt.log.abort(Verdict.RAN, "answer-too-long", detail)
+                return
+            if is_split:
+                splitter.feed(chunk)
+        if splitter.has_part:
+            detail = "the stream ended within an event"
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+        else:
+            attempt.log.end()
+
+
+def _only_events_tell_a_cut(reply):
+    is_events = is_event_stream(reply.header("content-type", ""))
+    return is_events and not reply.framing.tells_end
 
 
 def _is_passed_on(name):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/answer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/answer.py
@@ -13,7 +13,7 @@
 
 class Answer(Record):
     """
-    A whole answer of a backend server.
+    An answer of a backend server, to its end.
 
     Parameters
     ----------
@@ -22,15 +22,18 @@
     body : bytes
         Empty if the pieces have been passed on already.
     verdict : Verdict
+    until_close : bool
+        Only its connection told the end: the caller is not told that it is whole.
     """
 
-    __slots__ = ("status", "headers", "body", "verdict")
+    __slots__ = ("status", "headers", "body", "verdict", "until_close")
 
-    def __init__(self, status, headers, body, verdict):
+    def __init__(self, status, headers, body, verdict, until_close=False):
         self.status = status
         self.headers = tuple(tuple(pair) for pair in headers)
         self.body = body
         self.verdict = verdict
+        self.until_close = until_close
 
 
 def verdict_of_status(status):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim.py
@@ -106,7 +106,10 @@
         if kept.body is None:
             detail = "the request has run, but its answer was too long to keep"
             return Failure(Refusal(Verdict.RAN, 410, "answer-not-kept", detail))
-        return Success(Answer(kept.status, kept.headers, kept.body, Verdict.RAN))
+        answer = Answer(
+            kept.status, kept.headers, kept.body, Verdict.RAN, kept.until_close
+        )
+        return Success(answer)
 
     @_follow.register
     async def _(self, decision: TellMismatch, exchange, proceed):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim_support.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/claim_support.py
@@ -98,7 +98,13 @@
     -------
     KeptAnswer
     """
-    return keep_answer(answer.status, answer.headers, answer.body, KEPT_BODY_BYTES)
+    return keep_answer(
+        answer.status,
+        answer.headers,
+        answer.body,
+        KEPT_BODY_BYTES,
+        until_close=answer.until_close,
+    )
 
 
 def no_majority(exchange, error):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -13,6 +13,7 @@
 from gooseberryyoke_daemon.entry.exceptions import (
     AnswerDiffers,
     CallerGone,
+    EndNotTold,
     StreamCut,
 )
 from gooseberryyoke_daemon.wire import Response, problem_response
@@ -180,11 +181,18 @@
         ------
         AnswerDiffers
             If it ended before what the caller has got already.
+        EndNotTold
+            If only its connection tells the end of it, while the caller's answer was
+            begun with framing for the attempt before.
         """
+        head = self.head
         if self._skip_bytes > 0:
             raise AnswerDiffers(f"{self._skip_bytes} bytes short of the one before")
-        verdict = verdict_of_status(self.head.status)
-        return Answer(self.head.status, self.head.headers, bytes(self._body), verdict)
+        if head.until_close and self.started and not self._response.until_close:
+            raise EndNotTold("the connection ended, which tells no whole answer")
+        verdict = verdict_of_status(head.status)
+        body = bytes(self._body)
+        return Answer(head.status, head.headers, body, verdict, head.until_close)
 
     async def ready(self):
         """
@@ -214,10 +222,10 @@
 
     async def _pass_on(self, data):
         if not self._ready.is_set():
-            headers = answer_headers(
-                self.head.headers, verdict_of_status(self.head.status)
-            )
-            self._response = Response(self.head.status, headers, self._chunks())
+            head = self.head
+            headers = answer_headers(head.headers, verdict_of_status(head.status))
+            body = self._chunks()
+            self._response = Response(head.status, headers, body, head.until_close)
             self._ready.set()
         self._sum.update(data)
         self._sent_bytes += len(data)
@@ -230,7 +238,9 @@
         self._whole = True
         if not self.started:
             headers = answer_headers(answer.headers, answer.verdict)
-            self._response = Response(answer.status, headers, answer.body)
+            self._response = Response(
+                answer.status, headers, answer.body, answer.until_close
+            )
 
     def _refuse(self, refusal):
         if not self.started:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/dispatch.py
@@ -7,7 +7,11 @@
 
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.entry.demand import answer_tokens
-from gooseberryyoke_daemon.entry.exceptions import AnswerDiffers, CallerGone
+from gooseberryyoke_daemon.entry.exceptions import (
+    AnswerDiffers,
+    CallerGone,
+    EndNotTold,
+)
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["Dispatch"]
@@ -17,6 +21,7 @@
     [
         "agent-full",
         "barred",
+        "end-not-told",
         "leaving",
         "old-bundle",
         "server-paused",
@@ -104,6 +109,10 @@
             return Failure(
                 Refusal(Verdict.MAY_HAVE_RUN, 502, "answer-differs", detail, 1.0)
             )
+        except EndNotTold as exc:
+            return Failure(
+                Refusal(Verdict.MAY_HAVE_RUN, 502, "end-not-told", str(exc), 1.0)
+            )
 
     def _note_end(self, exchange, result):
         server, number = exchange.server.name, exchange.order.attempt
--- a/packages/gooseberryyoke/src/gooseberryyoke/claim/claim.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/claim/claim.py
@@ -23,6 +23,9 @@
 ]
 
 _PREFIX = "claim/"
+_UNTIL_CLOSE = ["connection", "close"]
+"""Marks such an answer among its headers, which hold no connection's options
+otherwise: entries of earlier releases read no further field, and pass this one on."""
 
 
 class ClaimState(Enum):
@@ -48,16 +51,19 @@
         SHA-256 of the body, in hexadecimal.
     location : str
         Where the body can be had if it isn't here; empty if nowhere.
+    until_close : bool
+        Only its connection told the end of the answer: it may have been cut off.
     """
 
-    __slots__ = ("status", "headers", "body", "digest", "location")
+    __slots__ = ("status", "headers", "body", "digest", "location", "until_close")
 
-    def __init__(self, status, headers, body, digest, location=""):
+    def __init__(self, status, headers, body, digest, location="", until_close=False):
         self.status = status
         self.headers = tuple((name, value) for name, value in headers)
         self.body = body
         self.digest = digest
         self.location = location
+        self.until_close = until_close
 
 
 class Claim(Record):
@@ -166,7 +172,7 @@
     return _PREFIX + sha256(pair).hexdigest()[:40]
 
 
-def keep_answer(status, headers, body, limit_bytes, location=""):
+def keep_answer(status, headers, body, limit_bytes, location="", until_close=False):
     """
     Make the kept form of an answer.
 
@@ -182,6 +188,8 @@
         A longer body is kept as its digest and location only.
     location : str
         Where a longer body can be had.
+    until_close : bool
+        As for `KeptAnswer`.
 
     Returns
     -------
@@ -189,8 +197,8 @@
     """
     digest = sha256(body).hexdigest()
     if len(body) <= limit_bytes:
-        return KeptAnswer(status, headers, body, digest)
-    return KeptAnswer(status, headers, None, digest, location)
+        return KeptAnswer(status, headers, body, digest, "", until_close)
+    return KeptAnswer(status, headers, None, digest, location, until_close)
 
 
 def encode_answer(answer):
@@ -209,6 +217,8 @@
         return None
     body = None if answer.body is None else b64encode(answer.body).decode()
     headers = [list(pair) for pair in answer.headers]
+    if answer.until_close:
+        headers.append(_UNTIL_CLOSE)
     return [answer.status, headers, body, answer.digest, answer.location]
 
 
@@ -228,7 +238,9 @@
         return None
     status, headers, body, digest, location = packed
     body = None if body is None else b64decode(body)
-    return KeptAnswer(status, headers, body, digest, location)
+    until_close = _UNTIL_CLOSE in headers
+    headers = [pair for pair in headers if pair != _UNTIL_CLOSE]
+    return KeptAnswer(status, headers, body, digest, location, until_close)
 
 
 def encode_claim(claim):
--- a/packages/gooseberryyoke/src/gooseberryyoke/claim/tests/test_claim.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/claim/tests/test_claim.py
@@ -150,6 +150,9 @@
     assert not decode_claim(encode_claim(SETTLED)).answer.until_close
 
 
-def test_the_form_of_an_answer_whose_end_was_told_has_not_changed():
+@pytest.mark.parametrize("until_close", [False, True])
+def test_earlier_releases_read_kept_answers(until_close):
     """Entries of an earlier release read exactly these five fields."""
-    assert len(encode_answer(ANSWER)) == 5
+    kept = keep_answer(201, [], b"some", 100, until_close=until_close)
+    status, _, _, _, _ = encode_answer(kept)
+    assert status == 201
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/frame.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/frame.py
@@ -32,15 +32,19 @@
         HTTP status.
     headers : tuple of (str, str)
         Header names in lower case, with their values.
+    until_close : bool
+        Only its connection tells the end of the server's answer, so that one which
+        was cut off can't be told from a whole one.
     """
 
-    __slots__ = ("attempt", "status", "headers")
+    __slots__ = ("attempt", "status", "headers", "until_close")
     sequence = 0
 
-    def __init__(self, attempt, status, headers):
+    def __init__(self, attempt, status, headers, until_close=False):
         self.attempt = attempt
         self.status = status
         self.headers = tuple(tuple(pair) for pair in headers)
+        self.until_close = until_close
 
 
 class DataFrame(Record):
@@ -123,7 +127,8 @@
 
 @_body_of.register
 def _(frame: HeadFrame):
-    return {"k": "head", "status": frame.status, "headers": frame.headers}
+    body = {"k": "head", "status": frame.status, "headers": frame.headers}
+    return {**body, "until_close": True} if frame.until_close else body
 
 
 @_body_of.register
@@ -182,8 +187,14 @@
     return body["t"].encode("utf-8")
 
 
+def _head_of(attempt, body):
+    # Agents of earlier releases don't say how the end was told.
+    until_close = body.get("until_close") is True
+    return HeadFrame(attempt, int(body["status"]), body["headers"], until_close)
+
+
 _DECODERS = {
-    "head": lambda a, body: HeadFrame(a, int(body["status"]), body["headers"]),
+    "head": _head_of,
     "data": lambda a, body: DataFrame(a, int(body["s"]), _data_of(body)),
     "end": lambda a, body: EndFrame(a, int(body["count"]), str(body["digest"])),
     "abort": lambda a, body: AbortFrame(
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/log.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/log.py
@@ -45,9 +45,9 @@
         """The end or abort frame, or None."""
         return self._last
 
-    def head(self, status, headers):
-        """Write status and headers of the answer."""
-        self._frames.append(HeadFrame(self.attempt, status, headers))
+    def head(self, status, headers, until_close=False):
+        """Write status and headers of the answer; see `HeadFrame`."""
+        self._frames.append(HeadFrame(self.attempt, status, headers, until_close))
 
     def data(self, data):
         """Write a piece of the body, in bytes."""
