Failing tests: the entry's error event is joined to a part of an event (ORDER)

What callers see: a stream that breaks within an event goes on with the entry's error event in the same line, `data: xevent: error`, and a blank line ends both. Their parser takes it for an event of the stream, which no server has sent. Where the server writes the type of the stream in capitals, there is no error event at all.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_answer_ends.py
@@ -105,6 +105,20 @@
     assert got.end is AnswerEnd.CUT
 
 
+def test_no_event_tells_of_a_cut_within_an_event():
+    """Written behind a part of an event, it is read as the rest of that event."""
+    got = stream(*[answer(events(3) + PART, is_cut=True)] * 3)
+    assert (got.body, got.end) == (events(3) + PART, AnswerEnd.CUT)
+
+
+@pytest.mark.parametrize("kind", ["text/event-stream", "Text/Event-Stream ;a=b"])
+def test_an_event_tells_of_a_cut_between_two_events(kind):
+    """Callers that read events only see a connection that ends, and not why."""
+    got = stream(*[answer(events(3), [("content-type", kind)], is_cut=True)] * 3)
+    assert got.body.startswith(events(3) + b"event: error\ndata: {")
+    assert got.end is AnswerEnd.CUT
+
+
 def test_another_server_goes_on_where_a_stream_ended_within_an_event():
     """An attempt that was broken off is not the answer while others may be made."""
     got = stream(answer(events(3) + PART, unframed=True), answer(events(6)))
