Write no error event behind a part of an event

What callers saw: a stream that broke within an event went on in the same line with the entry's error event, `data: xevent: error`, and a blank line ended both. Their parser took it for an event of the stream, which no server had sent.

Cause: the entry wrote the error event whatever it had passed on before.

Change: the entry keeps the last four bytes that it passed on, and writes the error event only if they end an event. Otherwise the cut connection alone tells.

Why it works: a parser drops the part of an event at the end of a stream.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -4,6 +4,7 @@
 from trio import BrokenResourceError, Event, open_memory_channel
 from xxhash import xxh3_128
 
+from gooseberryyoke.stream.events import BLANK_LINE_BYTES, ends_with_event
 from gooseberryyoke_daemon.entry.answer import (
     Answer,
     answer_headers,
@@ -65,6 +66,7 @@
         "_sent_bytes",
         "_skip_bytes",
         "_sum",
+        "_tail",
         "_whole",
     )
 
@@ -84,6 +86,7 @@
         self._skip_bytes = 0
         self._sum = xxh3_128()
         self._new_sum = None
+        self._tail = b""
         self._whole = False
 
     @property
@@ -229,6 +232,7 @@
             self._ready.set()
         self._sum.update(data)
         self._sent_bytes += len(data)
+        self._tail = (self._tail + data[-BLANK_LINE_BYTES:])[-BLANK_LINE_BYTES:]
         try:
             await self._send.send(data)
         except BrokenResourceError as exc:
@@ -247,7 +251,9 @@
             self._response = problem_response(refusal)
             return
         kinds = dict(self.head.headers)
-        if kinds.get("content-type", "").startswith(_EVENT_STREAM):
+        is_events = kinds.get("content-type", "").startswith(_EVENT_STREAM)
+        # Behind a part of an event it would be read as the rest of that one.
+        if is_events and ends_with_event(self._tail):
             self._body = bytearray(error_event(refusal))
 
     async def _chunks(self):
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/events.py
@@ -4,12 +4,20 @@
 
 from gooseberryyoke.record import Record
 
-__all__ = ["Event", "EventSplitter", "is_event_stream"]
+__all__ = [
+    "BLANK_LINE_BYTES",
+    "Event",
+    "EventSplitter",
+    "ends_with_event",
+    "is_event_stream",
+]
 
 _MEDIA_TYPE = "text/event-stream"
 _END_OF_EVENT = re.compile(rb"(?>\r\n|\r|\n){2}")
 """Atomic, as a carriage return and its line feed are not two line ends."""
-_LONGEST_END_BYTES = 4
+_ENDS_WITH_EVENT = re.compile(rb"(?>\r\n|\r|\n){2,}\Z")
+BLANK_LINE_BYTES = 4
+"""Most bytes of the blank line that ends an event, with the line end before it."""
 
 
 def is_event_stream(content_type):
@@ -28,6 +36,23 @@
     return content_type.partition(";")[0].strip().lower() == _MEDIA_TYPE
 
 
+def ends_with_event(data):
+    """
+    Tell whether bytes end with the end of an event.
+
+    Parameters
+    ----------
+    data : bytes
+        The last `BLANK_LINE_BYTES` of a stream are enough.
+
+    Returns
+    -------
+    bool
+        False also if there is no byte.
+    """
+    return _ENDS_WITH_EVENT.search(data) is not None
+
+
 class Event(Record):
     """
     One whole event.
@@ -104,7 +129,7 @@
             events.append(Event(raw, _id_of(raw)))
         # The end of the event may have begun in the last bytes. From the first byte
         # on, each piece of a long event would be searched as often as pieces follow.
-        self._searched_bytes = max(0, len(self._buffer) - _LONGEST_END_BYTES + 1)
+        self._searched_bytes = max(0, len(self._buffer) - BLANK_LINE_BYTES + 1)
         if len(self._buffer) > self._max_bytes:
             raise ValueError(f"event longer than {self._max_bytes} bytes")
         return events
--- a/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/stream/tests/test_events.py
@@ -1,7 +1,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from gooseberryyoke.stream.events import EventSplitter
+from gooseberryyoke.stream.events import (
+    BLANK_LINE_BYTES,
+    EventSplitter,
+    ends_with_event,
+)
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\nevent: x\ndata: two\ndata: more\n\ndata: end\n\n"
 
@@ -63,3 +67,15 @@
         events += splitter.feed(stream[start : start + size])
     assert [len(event.data.strip()) for event in events] == list(range(7, 15))
     assert b"".join(event.data for event in events) + splitter.rest == stream
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r", b"\r\n"], ids=["LF", "CR", "CRLF"])
+@pytest.mark.parametrize(
+    ("line_ends", "expected"), [(0, False), (1, False), (2, True), (3, True)]
+)
+def test_the_last_bytes_tell_whether_a_stream_ends_with_an_event(
+    line_end, line_ends, expected
+):
+    """An event written behind a part of another becomes the rest of that one."""
+    stream = b"data: x" + line_end * line_ends
+    assert ends_with_event(stream[-BLANK_LINE_BYTES:]) is expected
