Know a stream of events by its type however it is written

What callers saw: where a server writes the type in capitals, a stream that the entry has to cut ended without the event that says why.

Cause: the entry compared the beginning of the content type letter by letter, which also took text/event-streams for a stream of events.

Change: `is_event_stream`, as at the gateways and the agent.

Why it works: it compares the media type without its parameters and without case.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/delivery.py
@@ -4,7 +4,11 @@
 from trio import BrokenResourceError, Event, open_memory_channel
 from xxhash import xxh3_128
 
-from gooseberryyoke.stream.events import BLANK_LINE_BYTES, ends_with_event
+from gooseberryyoke.stream.events import (
+    BLANK_LINE_BYTES,
+    ends_with_event,
+    is_event_stream,
+)
 from gooseberryyoke_daemon.entry.answer import (
     Answer,
     answer_headers,
@@ -23,7 +27,6 @@
 
 _CHUNKS_AHEAD = 64
 _CLIENT_ERROR = 400
-_EVENT_STREAM = "text/event-stream"
 
 
 class Delivery:
@@ -250,8 +253,7 @@
         if not self.started:
             self._response = problem_response(refusal)
             return
-        kinds = dict(self.head.headers)
-        is_events = kinds.get("content-type", "").startswith(_EVENT_STREAM)
+        is_events = is_event_stream(dict(self.head.headers).get("content-type", ""))
         # Behind a part of an event it would be read as the rest of that one.
         if is_events and ends_with_event(self._tail):
             self._body = bytearray(error_event(refusal))
