Let the fakes answer without framing, whole or broken off

Change: `--no-framing` ends a fake's answers with the connection; `--cut-every N` breaks each Nth of them off, a stream within its second event. The engine's mark of leaving keeps how an answer ends.

--- a/examples/fakes/engine.py
+++ b/examples/fakes/engine.py
@@ -11,6 +11,7 @@
 from examples.fakes.prefix_cache import PrefixCache
 from examples.fakes.runner import run_fake
 from examples.fakes.text import answer_words
+from examples.fakes.unframed import Unframed
 from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.wire import Response, json_response
 
@@ -34,6 +35,8 @@
         Does the steps.
     orders : Orders
         Takes orders.
+    frame : callable
+        Takes each answer to a chat completion and changes how it ends.
 
     Attributes
     ----------
@@ -43,12 +46,13 @@
         Told in the load report.
     """
 
-    def __init__(self, seed, batch, orders):
+    def __init__(self, seed, batch, orders, frame=lambda response: response):
         self.executions = Counter()
         self.is_leaving = False
         self._seed = seed
         self._batch = batch
         self._orders = orders
+        self._frame = frame
         self._cache = PrefixCache()
         self._cancelled = 0
         self._pauses = Pauses()
@@ -81,7 +85,7 @@
         key = (request.method, request.path)
         if key == ("POST", "/v1/chat/completions"):
             response = self._pauses.refusal() or await self._complete(request)
-            return self._marked(response)
+            return self._frame(self._marked(response))
         route = self._routes.get(key)
         if route is None:
             return json_response(404, {"error": f"no route {request.path}"})
@@ -92,7 +96,7 @@
         if not self.is_leaving:
             return response
         headers = [*response.headers, *((name, "1") for name in HeaderNames().leaving)]
-        return Response(response.status, headers, response.body)
+        return response.replace(headers=headers)
 
     def _load(self, request):
         return json_response(
@@ -214,11 +218,30 @@
     help="Added to the step for each further sequence.",
 )
 @click.option("--ignore-fencing", is_flag=True, help="Execute old orders too.")
+@click.option("--no-framing", is_flag=True, help="End answers with the connection.")
+@click.option(
+    "--cut-every",
+    default=0,
+    show_default=True,
+    help="Which answers without framing to break off; 0 for none.",
+)
 @click.option("--linger-s", default=2.0, show_default=True, help="After SIGTERM.")
-def main(listen, seed, slots, step_ms, step_per_sequence_ms, ignore_fencing, linger_s):
+def main(
+    listen,
+    seed,
+    slots,
+    step_ms,
+    step_per_sequence_ms,
+    ignore_fencing,
+    no_framing,
+    cut_every,
+    linger_s,
+):
     """Run a fake model engine."""
     batch = Batch(slots, step_ms / 1000, step_per_sequence_ms / 1000)
-    run_fake(FakeEngine(seed, batch, Orders(ignore_fencing)), listen, linger_s)
+    options = [Unframed(cut_every)] if no_framing else []
+    fake = FakeEngine(seed, batch, Orders(ignore_fencing), *options)
+    run_fake(fake, listen, linger_s)
 
 
 if __name__ == "__main__":
--- a/examples/fakes/service.py
+++ b/examples/fakes/service.py
@@ -9,6 +9,7 @@
 
 from examples.fakes.runner import run_fake
 from examples.fakes.text import document_text
+from examples.fakes.unframed import Unframed
 from gooseberryyoke_daemon.wire import json_response
 
 __all__ = ["FakeService"]
@@ -28,6 +29,8 @@
         Mean time of a call, in seconds.
     slots : int
         Calls at one time; the rest queue.
+    frame : callable
+        Takes each answer to a call and changes how it ends.
 
     Attributes
     ----------
@@ -37,13 +40,14 @@
         Told in the load report.
     """
 
-    def __init__(self, seed, name, call_s, slots):
+    def __init__(self, seed, name, call_s, slots, frame=lambda response: response):
         self.executions = Counter()
         self.is_leaving = False
         self._seed = seed
         self._rng = Random(f"{seed} {name}")
         self._name = name
         self._call_s = call_s
+        self._frame = frame
         self._max_slots = slots
         self._slots = trio.CapacityLimiter(slots)
 
@@ -69,9 +73,8 @@
             return json_response(200, {"executions": self.executions})
         async with self._slots:
             await trio.sleep(self._rng.uniform(0.5, 1.5) * self._call_s)
-            if request.method == "POST":
-                return self._execute(request)
-            return self._fetch(request)
+            is_post = request.method == "POST"
+            return self._frame((self._execute if is_post else self._fetch)(request))
 
     def _load(self):
         stats = self._slots.statistics()
@@ -107,11 +110,20 @@
 @click.option("--seed", default=1, show_default=True, help="Of documents and times.")
 @click.option("--call-ms", default=15.0, show_default=True, help="Mean time of a call.")
 @click.option("--slots", default=16, show_default=True, help="Calls at one time.")
+@click.option("--no-framing", is_flag=True, help="End answers with the connection.")
+@click.option(
+    "--cut-every",
+    default=0,
+    show_default=True,
+    help="Which answers without framing to break off; 0 for none.",
+)
 @click.option("--linger-s", default=2.0, show_default=True, help="After SIGTERM.")
-def main(listen, seed, call_ms, slots, linger_s):
+def main(listen, seed, call_ms, slots, no_framing, cut_every, linger_s):
     """Run a fake plain service."""
     name = listen.rpartition(":")[2]
-    run_fake(FakeService(seed, name, call_ms / 1000, slots), listen, linger_s)
+    options = [Unframed(cut_every)] if no_framing else []
+    fake = FakeService(seed, name, call_ms / 1000, slots, *options)
+    run_fake(fake, listen, linger_s)
 
 
 if __name__ == "__main__":
--- a/examples/fakes/tests/test_fakes.py
+++ b/examples/fakes/tests/test_fakes.py
@@ -15,6 +15,8 @@
 from examples.fakes.prefix_cache import PrefixCache
 from examples.fakes.service import FakeService
 from examples.fakes.text import answer_words, document_text
+from examples.fakes.unframed import Unframed
+from gooseberryyoke.stream.events import EventSplitter
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -211,3 +213,49 @@
             await answer.read()
 
     serve(main, engine)
+
+
+async def ask_unframed(client, request):
+    async with client.open(SERVER, request) as reply:
+        assert not reply.framing.tells_end
+        return await reply.read()
+
+
+@pytest.mark.parametrize(("cut_every", "is_whole"), [(0, True), (1, False)])
+def test_a_service_s_answers_without_framing_are_whole_or_broken_off(
+    cut_every, is_whole
+):
+    """A fake that frames them or never cuts them leaves cut answers untried."""
+
+    async def main(fake, client):
+        body = await ask_unframed(client, Request("GET", "/certificates/c1"))
+        whole = orjson.dumps({"id": "c1", "text": document_text(3, "c1")})
+        assert whole.startswith(body)
+        assert (body == whole) is is_whole
+
+    serve(main, lambda: FakeService(3, "9", 0.01, 4, Unframed(cut_every)))
+
+
+@pytest.mark.parametrize(("cut_every", "is_whole"), [(0, True), (1, False)])
+def test_an_engine_s_streams_without_framing_are_whole_or_broken_off(
+    cut_every, is_whole
+):
+    """A fake that cuts between two events leaves cuts within one untried."""
+
+    async def main(fake, client):
+        body = orjson.dumps(chat("hello", stream=True))
+        request = Request("POST", "/v1/chat/completions", (), body)
+        splitter = EventSplitter()
+        events = splitter.feed(await ask_unframed(client, request))
+        assert (len(events), splitter.has_part) == (
+            (12, False) if is_whole else (1, True)
+        )
+        # The batch frees a place with its next step.
+        await trio.sleep(0.05)
+        load = (await client.json("GET", SERVER, "/load")).payload
+        assert load["running"] == 0
+
+    def make():
+        return FakeEngine(7, Batch(8, 0.01, 0.001), Orders(False), Unframed(cut_every))
+
+    serve(main, make)
