Failing tests: the network in memory shows a reset as a plain end

What tests see: a stream that its peer resets and then closes ends plainly, if its reader looks only after the latency, or if there is none.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_memory.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_memory.py
@@ -1,4 +1,5 @@
 import h11
+import pytest
 import trio
 import trio.testing
 
@@ -145,3 +146,26 @@
         assert server.counts["slow-reader"] == 1
 
     serve(main, long_answer, held)
+
+
+@pytest.mark.parametrize("latency_s", [0.0, 0.001])
+@pytest.mark.parametrize("busy_s", [0.0, 1.0])
+def test_a_close_after_a_reset_is_no_end(latency_s, busy_s):
+    """Read as a plain end, a reset ends an answer that only its connection ends."""
+
+    async def reset_and_close(stream):
+        stream.reset()
+        await stream.aclose()
+
+    async def main():
+        network = MemoryNetwork(latency_s=latency_s)
+        listeners = await network.listen(SERVER)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, reset_and_close, listeners)
+            stream = await network.connect(SERVER)
+            await trio.sleep(busy_s)
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some(1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
