Show no plain end behind a reset in the network in memory

What tests saw: a stream that its peer reset and then closed ended plainly, if its reader looked only after the latency, or if there was none.

Cause: the close put an end behind the reset, and what has arrived is read first.

The agent's test of a reset no longer needs a latency.

Change: after a reset, nothing is put.

Why it works: a kernel that has sent a reset sends no end; a later read raises.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
@@ -34,8 +34,7 @@
                 stream.reset()
 
     async def main():
-        # Without latency, the end that follows a reset overtakes it here.
-        network = MemoryNetwork(latency_s=0.001)
+        network = MemoryNetwork()
         listeners = await network.host(SERVER.host).listen(SERVER)
         client = HttpClient(network.host("10.1.0.2"))
         hear = lambda report, attempt: None  # noqa: E731
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory_stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory_stream.py
@@ -62,10 +62,10 @@
         return self._broken or self._ready()
 
     def put_end(self):
-        """Write the end of the stream, once."""
-        if not self._ended:
-            self._ended = True
+        """Write the end of the stream, once; after a reset there is none."""
+        if not self._ended and not self._broken:
             self._append(_END)
+        self._ended = True
 
     async def put(self, data):
         """
