Name a stream that ended within an event with the reason operators know

What operators saw: `answer-cut` from an agent, which the page of reasons doesn't have; `server-cut` stands there for a server's answer that ended in its middle.

Seen: tests of agent, entry, stream, claim and the fakes pass.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -121,7 +121,7 @@
                 splitter.feed(chunk)
         if splitter.has_part:
             detail = "the stream ended within an event"
-            attempt.log.abort(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, "server-cut", detail)
         else:
             attempt.log.end()
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
@@ -87,7 +87,7 @@
     assert body_of(frames) == EVENTS + PART
     assert isinstance(frames[-1], AbortFrame)
     assert frames[-1].verdict is Verdict.MAY_HAVE_RUN
-    assert frames[-1].reason == "answer-cut"
+    assert frames[-1].reason == "server-cut"
 
 
 def test_a_long_event_is_no_fault():
