End a trial with its attempt, whatever that showed

What callers saw: after a request on trial had got an error for an answer, or its caller had left before its server answered, other requests with the part waited up to three seconds for a trial that nobody made any more.

Cause: a trial ended with an answer that held, a failed attempt or the end of a stream; a plain answer and a cancelled attempt were left to the lapse.

Change: both end it. An answer holds from its first event on, counted where the event arrives: an empty continuation proves nothing any more.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -105,6 +105,10 @@
                 sent = exc.reason != "not-connected"
                 unsent += not sent
                 refusal = await self._after(exchange, server, exc, unsent)
+            except BaseException:
+                # Its caller has left: others need not wait for what the trial shows.
+                self.note_over(exchange)
+                raise
             if refusal is not None:
                 return Failure(refusal)
 
@@ -158,6 +162,7 @@
             raise CallFailed(Verdict.MAY_HAVE_RUN, "server-error", detail)
         call.server.health.succeeded()
         self.note_answered(exchange, call)
+        self.note_over(exchange)
         await call.close()
         return Response(head.status, head.headers, body, until_close)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -46,6 +46,7 @@
         "_call",
         "_splitter",
         "_continues_after",
+        "_held_from_s",
         "_has_held",
         "_until_close",
         "_ready",
@@ -73,6 +74,8 @@
         # Id after which the call's answer has to begin; None once it has, and for the
         # first call.
         self._continues_after = None
+        # When the call's answer has held; None before its first event.
+        self._held_from_s = None
         self._has_held = False
         self._until_close = not call.framing.tells_end
         self._ready = []
@@ -124,7 +127,8 @@
                 self._ready = await self._next_ready()
             if self._splitter.rest:
                 yield self._splitter.rest
-            self._relay.note_held(self._exchange)
+            if self._held_from_s is not None:
+                self._relay.note_held(self._exchange)
             self._call.server.health.succeeded()
             self._relay.note_answered(self._exchange, self._call)
         finally:
@@ -218,6 +222,7 @@
         await broken.close()
         if not is_unread:
             held, self._has_held = self._has_held, False
+            self._held_from_s = None
             await self._relay.attempt_failed(exchange, broken.server, exc, held)
         if self._may_resume() and not is_unread:
             self._call = await self._relay.resume(exchange, exchange.last_event_id)
@@ -264,8 +269,10 @@
     def _note_held(self):
         if self._has_held:
             return
-        call = self._call
-        if trio.current_time() - call.sent_s - call.first_s >= HELD_S:
+        now = trio.current_time()
+        if self._held_from_s is None:
+            self._held_from_s = now + HELD_S
+        elif now >= self._held_from_s:
             self._has_held = True
             self._relay.note_held(self._exchange)
 
