Recognize a refused connection on real sockets

Cause: trio raises an error without a number of its own, from a group of errors, where the network in memory raises the refusal itself. `is_refused` looked for the number in the error and its cause, so that no server's end was ever told on real sockets: no part was suspected. Tests on the network in memory can't see it.

Change: all errors of the group have to be refusals.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -380,9 +380,9 @@
 
 
 def _is_refusal(exc):
-    # trio raises an error of its own, from that of the only address it tried.
-    cause = exc if exc.errno is not None else exc.__cause__
-    return getattr(cause, "errno", None) == errno.ECONNREFUSED
+    # trio raises an error of its own, from a group with one for each address it tried.
+    causes = getattr(exc.__cause__, "exceptions", [exc])
+    return all(cause.errno == errno.ECONNREFUSED for cause in causes)
 
 
 def _or_forever(timeout_s):
