Wake waiting requests when another gateway knows their part to be sound

Cause: only a proof that takes ends away counted as a change; one that makes them too few to act on did not wake who waited.

Change: a later proof is a change.

--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -300,7 +300,8 @@
         if known is None and not any(at > proof_s_here for at in ends_s.values()):
             return False, is_behind
         suspicion = self._suspicion(part)
-        changed = suspicion.prove(proof_s_here)
+        changed = proof_s_here > suspicion.proof_s
+        suspicion.prove(proof_s_here)
         for life, at_s in ends_s.items():
             changed |= suspicion.add_end(life, at_s)
         suspicion.seen_s = max(suspicion.seen_s, suspicion.last_end_s)
