Remove has_place, which only tests called

Admission counts the free places once and compares them with those that are kept from late requests itself. The two tests now compare the same two counts: one place is free, one is kept, so that a late request does not get it; a closed group that is tried keeps none.

--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -21,7 +21,6 @@
     free_by_server,
     free_places,
     free_to_begin,
-    has_place,
     kept_places,
     reservable_slots,
 )
@@ -63,7 +62,6 @@
     "free_by_server",
     "free_places",
     "free_to_begin",
-    "has_place",
     "kept_places",
     "read_backoff",
     "read_rate",
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/places.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/places.py
@@ -5,7 +5,6 @@
     "free_places",
     "free_to_begin",
     "going_pulses",
-    "has_place",
     "kept_places",
     "reservable_slots",
     "sound_servers",
@@ -152,29 +151,6 @@
     return _slots(sound_servers(servers, now))
 
 
-def has_place(servers, now, is_late):
-    """
-    Tell whether a request could begin at once.
-
-    Parameters
-    ----------
-    servers : list
-        As of `free_places`.
-    now : float
-        In seconds.
-    is_late : bool
-        Some places are kept from those that can't be on time any more.
-
-    Returns
-    -------
-    bool
-        True also if no server is known, or none that is sound and could be waited
-        for: the attempt tells the reason.
-    """
-    free = free_to_begin(servers, now)
-    return free is None or free > (kept_places(servers) if is_late else 0)
-
-
 def free_to_begin(servers, now):
     """
     Count the places that a request which has just come could take.
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -11,7 +11,7 @@
     ServerPace,
     choose_server,
     free_places,
-    has_place,
+    free_to_begin,
     kept_places,
 )
 
@@ -185,12 +185,11 @@
     assert free_places(servers, 0.1) == 10
     assert free_places(servers, 0.2) == 11
     assert kept_places(closed) == 0
-    assert has_place(closed, 0.2, is_late=True)
+    assert free_to_begin(closed, 0.2) > kept_places(closed)
     assert choose(*servers, now=0.1) == "z"
 
 
 def test_late_requests_leave_some_places_free():
     servers = [Candidate("x", own=5), Candidate("y", own=6)]
     assert kept_places(servers) == 1
-    assert has_place(servers, 0.0, is_late=False)
-    assert not has_place(servers, 0.0, is_late=True)
+    assert free_to_begin(servers, 0.0) == 1
