--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_reset.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_reset.py
@@ -3,6 +3,7 @@
 
 import pytest
 import trio
+from trio.testing import MockClock
 
 from gooseberryyoke_daemon.wire import (
     Address,
@@ -12,6 +13,8 @@
     TcpNetwork,
     listener_address,
 )
+from gooseberryyoke_daemon.wire.memory import MemoryNetwork
+from gooseberryyoke_daemon.wire.network import set_reset_on_close
 
 LONG_BODY = bytes(16 * 1024 * 1024)
 """More than both ends of a connection hold, so that the write waits for the reader."""
@@ -43,3 +46,28 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_a_late_reader_in_memory_sees_a_reset_after_what_was_sent():
+    """The end that a close added behind the reset looked like a regular one."""
+
+    async def send_and_reset(stream):
+        await stream.send_all(b"some")
+        await trio.sleep(0.1)
+        set_reset_on_close(stream, True)
+        await stream.aclose()
+
+    async def main():
+        network = MemoryNetwork(latency_s=0.001)
+        address = Address("10.0.0.1", 80)
+        listeners = await network.listen(address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, send_and_reset, listeners)
+            stream = await network.connect(address)
+            await trio.sleep(1.0)
+            assert await stream.receive_some() == b"some"
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
