Check the first event that has an id of a stream's continuation

What callers saw: a stream that broke after event 3 went on with events 1 to 6 of a second server, framed as complete, if a block without an id (a comment, a retry time) preceded them.

Cause: only the first block of a continuation was compared with the last event that was passed on, and one without an id counted as following.

Change: the first event that has an id is compared. Blocks before it pass as they come, so that a server that sends comments while it prepares keeps its caller.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -71,8 +71,8 @@
         self._exchange = exchange
         self._call = call
         self._splitter = EventSplitter()
-        # Id after which the call's answer has to begin; None once it has, and for the
-        # first call.
+        # Id that the call's first event with an id has to follow; None once that has
+        # come, and for the first call.
         self._continues_after = None
         # When the call's answer has held; None before its first event.
         self._held_from_s = None
@@ -260,7 +260,7 @@
                     Verdict.MAY_HAVE_RUN, "answer-garbled", detail
                 ) from exc
             if events:
-                self._check_continuation(events[0])
+                self._check_continuation(events)
                 self._note_held()
                 self._note_gap()
                 self._note_ids(events)
@@ -291,10 +291,14 @@
             detail = "the connection ended between two events"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "end-not-told", detail)
 
-    def _check_continuation(self, event):
+    def _check_continuation(self, events):
+        # A block without an id, as a comment before the events, tells nothing.
+        first_id = next((event.id for event in events if event.id is not None), None)
+        if self._continues_after is None or first_id is None:
+            return
         last_id, self._continues_after = self._continues_after, None
-        if last_id is not None and not _follows(event.id, last_id):
-            detail = f"event {event.id} does not follow event {last_id}"
+        if not _follows(first_id, last_id):
+            detail = f"event {first_id} does not follow event {last_id}"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "not-continued", detail)
 
     def _note_ids(self, events):
@@ -317,8 +321,6 @@
 
 def _follows(event_id, last_id):
     """Tell whether an event may be the next one; ids increase, if they are numbers."""
-    if event_id is None:
-        return True
     if event_id.isdecimal() and last_id.isdecimal():
         return int(event_id) > int(last_id)
     return event_id != last_id
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
@@ -81,6 +81,7 @@
     "another type": sized(b'{"a":\n\n1}', kind=b"application/json"),
     "no event, end not told": unframed(b""),
     "from the beginning again": chunked(events(1, 6)),
+    "a comment, then from the beginning": chunked(b": on\n\n" + events(1, 6)),
     "an event that was passed on": chunked(events(3, 6)),
 }
 
