--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/raw_caller.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/raw_caller.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 import h11
+import trio
 
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS
@@ -47,7 +48,7 @@
         self.end = end
 
 
-async def ask_raw(network, address, request, version="1.1"):
+async def ask_raw(network, address, request, version="1.1", pause_s=0.0):
     """
     Send a request and read until the connection ends or the answer is whole.
 
@@ -58,6 +59,8 @@
     request : Request
     version : str
         Of HTTP; a caller of 1.0 can't be sent chunks.
+    pause_s : float
+        For which nothing is read, after the request was sent.
 
     Returns
     -------
@@ -66,6 +69,7 @@
     stream = await network.connect(address)
     async with stream:
         await stream.send_all(_encode(request, version))
+        await trio.sleep(pause_s)
         return await _read(stream, request.method)
 
 
