Count no caller as gone when an answer over TLS ends with its connection

Cause: the close by this end stops its own reading, which counted as the peer's end if the reader ran before the exchange was over.

Change: the peer's end is not watched any more once the body is whole.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -178,6 +178,8 @@
         set_reset_on_close(self._channel.stream, True)
         await self._send_body(head, resp, no_body)
         set_reset_on_close(self._channel.stream, False)
+        # What ends this end's reading from now on may be the close, not the peer.
+        self._channel.end_answer()
         await _end_stream(self._channel.stream)
 
     async def _send_body(self, head, resp, no_body):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_until_close.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_until_close.py
@@ -16,6 +16,7 @@
 from gooseberryyoke_daemon.wire.tests.test_wire_tls import contexts
 
 LIMIT_S = 20
+ROUNDS = 30
 PART = b"x" * 1000
 LONG = bytes(140_000)
 """More than a caller's socket takes at first, and little enough for both ends to hold:
@@ -196,6 +197,23 @@
     run(main)
 
 
+def test_the_end_of_an_answer_over_tls_is_not_a_caller_that_left(tmp_path):
+    """The read that the server's own close ends was counted as the peer's end."""
+
+    async def main():
+        server_ssl, client_ssl = contexts(tmp_path)
+        async with serving(whole, server_ssl) as (address, server, _):
+            # Which of two tasks runs first decides, so that one round tells little.
+            for _ in range(ROUNDS):
+                stream = await TcpNetwork(client_ssl=client_ssl).connect(address)
+                await stream.send_all(REQUESTS["until close"])
+                assert await read_to_end(stream) == LONG
+            await trio.sleep(0.1)
+            assert server.counts["peer-gone"] == 0
+
+    run(main)
+
+
 def test_a_connection_is_not_kept_after_an_answer_that_it_ends():
     """A second request on it must get no answer, as nothing tells where that begins."""
 
