--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
@@ -8,6 +8,7 @@
     run_routed,
     sample_table,
 )
+from gooseberryyoke_daemon.wire.message import find_header
 
 TYPE = b"text/event-stream"
 FIN, RESET = "fin", "reset"
@@ -58,7 +59,7 @@
     return handler
 
 
-def ask(*servers, path="/draw/x", version="1.1", table=None):
+def ask(*servers, path="/draw/x", version="1.1", table=None, method="POST"):
     """Give what a caller gets where the servers are asked in this order."""
     answers = []
 
@@ -67,7 +68,7 @@
             await session.add(f"i-{number}", None, handler=handler)
             session.servers.of_service("s")[number].load.own = number
         network = session.network.host("10.9.0.1")
-        request = session.request(path)
+        request = session.request(path).replace(method=method)
         answers.append(await ask_raw(network, GATEWAY, request, version))
 
     run_routed(main, table)
@@ -188,3 +189,49 @@
 def test_a_type_that_only_begins_like_that_of_events_is_another_one():
     answer = ask(says(sized(b"some", kind=b"text/event-streams")))
     assert (answer.body, answer.end) == (b"some", AnswerEnd.WHOLE)
+
+
+HAS_LENGTH = head(kind=b"text/plain", framing=b"content-length: 100")
+
+
+def test_an_answer_to_head_does_not_claim_another_length():
+    """The length of the answer to a GET was replaced by that of no body."""
+    answer = ask(says(HAS_LENGTH), path="/book/x", method="HEAD")
+    assert answer.status == 200
+    assert find_header(answer.headers, "content-length") in (None, "100")
+
+
+def test_an_answer_to_head_needs_no_event():
+    """A head of a stream was taken for a stream without events, and made again."""
+    answer = ask(says(head()), says(head()), method="HEAD")
+    assert answer.status == 200
+
+
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_an_answer_that_has_no_body_is_whole(status, version):
+    """Without length, it must not be taken for one that its connection ends."""
+    answer = ask(says(head(status, kind=None)), path="/book/x", version=version)
+    assert (answer.status, answer.body, answer.end) == (status, b"", AnswerEnd.WHOLE)
+
+
+def test_what_precedes_an_answer_is_not_taken_for_it():
+    """Interim answers may come before the final one, which has the framing."""
+    interim = b"HTTP/1.1 103 X\r\nlink: </a>\r\n\r\n"
+    answer = ask(says(interim + chunked(events(1, 3))))
+    assert (answer.body, answer.end) == (events(1, 3), AnswerEnd.WHOLE)
+
+
+def test_an_event_without_id_is_not_passed_on_twice():
+    """Resumed after the last id, a server gives what has followed it once more."""
+    tail = b"data: done\n\n"
+    broken = says(chunked(events(1, 3) + tail, last=False))
+    answer = ask(broken, says(chunked(tail)))
+    assert answer.body.count(tail) == 1
+
+
+def test_a_continuation_that_leaves_events_out_does_not_make_a_stream_whole():
+    """A server that has forgotten older events begins with a later one."""
+    broken = says(chunked(events(1, 3), last=False))
+    answer = ask(broken, says(chunked(events(5, 6))))
+    assert (answer.body, answer.end) == (events(1, 3), AnswerEnd.CUT)
