--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
@@ -235,3 +235,14 @@
     broken = says(chunked(events(1, 3), last=False))
     answer = ask(broken, says(chunked(events(5, 6))))
     assert (answer.body, answer.end) == (events(1, 3), AnswerEnd.CUT)
+
+
+def test_an_event_without_id_of_a_server_that_begins_anew_is_not_joined():
+    """It passes before the first event with an id tells that the server began anew."""
+    broken = says(chunked(events(1, 3), last=False))
+    again = events(1, 6)
+    anew = chunked(b"data: hello\n\n", last=False)
+    anew += b"%x\r\n%b\r\n0\r\n\r\n" % (len(again), again)
+    third = says(chunked(events(4, 6)))
+    answer = ask(broken, says(anew), third, table=THREE_ATTEMPTS)
+    assert (answer.body, answer.end) == (events(1, 6), AnswerEnd.WHOLE)
