Decide in one place what goes on with a stream that broke

What callers saw: events that were missing, came twice or were of a run begun anew in a stream framed as complete, if the events of a second server had no ids, ids in letters, empty ids or gaps; a cut where only comments had come; a failure in the gateway for ids of more digits than Python reads as a number.

Cause: only the first event with an id was compared, and only with the last id. Events before it passed unseen, any higher number counted as the next, and whether data without an id had passed since the last id was not kept.

Change: gateway/continuation.py keeps what was passed on and decides. Events without an id are held back, up to 64 KiB, until the first one with an id is checked; where ids have counted up by one, it has to be the next number. After data without an id nothing can tell what is missing, so the stream is cut. While nothing but comments was passed on, no event can come twice, so another server may begin anew; an answer without any event is as little an answer there as it is at first.

The property test's model of a second answer now also knows streams begun anew after a block without an id, and compares all that was passed on with what was sent. It took every stream with such a block for one that goes on after an id.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -5,6 +5,7 @@
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke.stream.events import EventSplitter
 from gooseberryyoke_daemon.gateway.call import CallFailed
+from gooseberryyoke_daemon.gateway.continuation import Continuation, NotContinued
 from gooseberryyoke_daemon.gateway.quarantine import HELD_S
 from gooseberryyoke_daemon.gateway.stream_buffer import StreamBuffer
 from gooseberryyoke_daemon.logs import log_event
@@ -45,7 +46,7 @@
         "_exchange",
         "_call",
         "_splitter",
-        "_continues_after",
+        "_continuation",
         "_held_from_s",
         "_has_held",
         "_until_close",
@@ -71,9 +72,7 @@
         self._exchange = exchange
         self._call = call
         self._splitter = EventSplitter()
-        # Id that the call's first event with an id has to follow; None once that has
-        # come, and for the first call.
-        self._continues_after = None
+        self._continuation = Continuation()
         # When the call's answer has held; None before its first event.
         self._held_from_s = None
         self._has_held = False
@@ -90,9 +89,6 @@
         CallFailed
         """
         self._ready = await self._next_events()
-        if not self._ready and not self._may_be_empty():
-            detail = "the stream ended before its first event"
-            raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
 
     def _may_be_empty(self):
         # A caller that has all events may ask for what follows them.
@@ -237,12 +233,10 @@
             )
             raise BodyCut(f"{exc.reason} after event {exchange.last_event_id}")
         self._splitter = EventSplitter()
-        self._continues_after = exchange.last_event_id
+        self._continuation.begin_answer()
 
     def _may_resume(self):
-        # Without an id, a second server would begin anew.
-        exchange = self._exchange
-        return exchange.route.is_resumable and exchange.last_event_id is not None
+        return self._exchange.route.is_resumable and self._continuation.may_resume
 
     async def _next_events(self):
         """Read until at least one whole event is there; none at the end."""
@@ -252,20 +246,21 @@
             if chunk is None:
                 self._check_end()
                 return []
-            try:
-                events = self._splitter.feed(chunk)
-            except ValueError as exc:
-                detail = str(exc)
-                raise CallFailed(
-                    Verdict.MAY_HAVE_RUN, "answer-garbled", detail
-                ) from exc
-            if events:
-                self._check_continuation(events)
+            if events := self._whole_events(chunk):
                 self._note_held()
                 self._note_gap()
-                self._note_ids(events)
+                self._note_events(events)
                 return events
 
+    def _whole_events(self, chunk):
+        """Give the events that a part of the answer completes and that go on."""
+        try:
+            return self._continuation.admit(self._splitter.feed(chunk))
+        except ValueError as exc:
+            raise _failed("answer-garbled", str(exc)) from exc
+        except NotContinued as exc:
+            raise _failed("not-continued", str(exc)) from exc
+
     def _note_held(self):
         if self._has_held:
             return
@@ -278,30 +273,25 @@
 
     def _check_end(self):
         """Raise `CallFailed` unless the end may be the stream's."""
+        continuation = self._continuation
         if self._splitter.has_part:
-            detail = "the stream ended within an event"
-            raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+            raise _failed("answer-cut", "the stream ended within an event")
+        if continuation.holds_events:
+            raise _failed("not-continued", "events without ids do not go on")
+        if self._is_empty() and not self._may_be_empty():
+            raise _failed("answer-cut", "the stream ended before its first event")
         if self._call.framing.tells_end:
             return
-        if self._continues_after is not None:
-            detail = "the connection ended before the first event"
-            raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-cut", detail)
+        if continuation.is_awaited:
+            raise _failed("answer-cut", "the connection ended before the first event")
         if not self._until_close:
             # The caller was promised a last chunk, which says that all has come.
-            detail = "the connection ended between two events"
-            raise CallFailed(Verdict.MAY_HAVE_RUN, "end-not-told", detail)
+            raise _failed("end-not-told", "the connection ended between two events")
 
-    def _check_continuation(self, events):
-        # A block without an id, as a comment before the events, tells nothing.
-        first_id = next((event.id for event in events if event.id is not None), None)
-        if self._continues_after is None or first_id is None:
-            return
-        last_id, self._continues_after = self._continues_after, None
-        if not _follows(first_id, last_id):
-            detail = f"event {first_id} does not follow event {last_id}"
-            raise CallFailed(Verdict.MAY_HAVE_RUN, "not-continued", detail)
+    def _is_empty(self):
+        return self._continuation.is_awaited and self._continuation.may_begin_anew
 
-    def _note_ids(self, events):
+    def _note_events(self, events):
         # Also of events that are only read ahead: a server that goes on with the
         # stream must not give them once more.
         self._exchange.events += len(events)
@@ -319,8 +309,5 @@
         self._last_event_s = now
 
 
-def _follows(event_id, last_id):
-    """Tell whether an event may be the next one; ids increase, if they are numbers."""
-    if event_id.isdecimal() and last_id.isdecimal():
-        return int(event_id) > int(last_id)
-    return event_id != last_id
+def _failed(reason, detail):
+    return CallFailed(Verdict.MAY_HAVE_RUN, reason, detail)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
@@ -246,3 +246,26 @@
     third = says(chunked(events(4, 6)))
     answer = ask(broken, says(anew), third, table=THREE_ATTEMPTS)
     assert (answer.body, answer.end) == (events(1, 6), AnswerEnd.WHOLE)
+
+
+@pytest.mark.parametrize("second", [chunked(b"data: x\n\n"), unframed(b": on\n\n")])
+def test_a_second_answer_without_ids_does_not_end_a_stream(second):
+    """Its end, told or not, would be taken for that of the stream."""
+    broken = says(chunked(events(1, 3), last=False))
+    answer = ask(broken, says(second))
+    assert answer.body.replace(b": on\n\n", b"") == events(1, 3)
+    assert answer.end is AnswerEnd.CUT
+
+
+def test_a_stream_of_which_only_the_end_was_lost_is_whole_after_a_comment():
+    broken = says(chunked(events(1, 3), last=False))
+    answer = ask(broken, says(chunked(b": on\n\n")))
+    assert answer.body == events(1, 3) + b": on\n\n"
+    assert answer.end is AnswerEnd.WHOLE
+
+
+def test_an_empty_answer_is_none_to_a_stream_of_comments():
+    """No event has come of either server, so that a whole stream would be claimed."""
+    broken = says(chunked(b": on\n\n", last=False))
+    answer = ask(broken, says(chunked(b"")))
+    assert (answer.body, answer.end) == (b": on\n\n", AnswerEnd.CUT)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends_property.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends_property.py
@@ -202,11 +202,29 @@
 
 
 def begun_before(asked):
-    """Give the first server whose events were passed on before the last one's."""
+    """Give the first server whose blocks were passed on before the last one's."""
     return next((attempt for attempt in asked[:-1] if attempt.begins_stream), None)
 
 
-def check_all_arrived(answer, asked):
+def begins_anew(asked):
+    """Tell whether nothing but preambles was passed on before the last server's."""
+    return not any(ID.search(passed_blocks(attempt)) for attempt in asked[:-1])
+
+
+def passed_blocks(attempt):
+    """Give the whole blocks that were sent of a stream."""
+    if not attempt.begins_stream:
+        return b""
+    whole, end, _ = normalize(attempt.sent_body).rpartition(b"\n\n")
+    return whole + end
+
+
+def preambles_before(asked):
+    """Give what was passed on of the servers before the last one, without events."""
+    return b"".join(passed_blocks(attempt) for attempt in asked[:-1])
+
+
+def check_all_arrived(answer, asked, caller):
     """Check that nothing of a stream is missing that its last server has sent."""
     last = asked[-1]
     last_id = ids_in_order(answer, asked)
@@ -214,6 +232,11 @@
         assert answer.body == last.sent_body
         return
     assert answer.body.endswith(last.sent_body)
+    if begins_anew(asked):
+        assert last.after == caller.after
+        sent = preambles_before(asked) + normalize(last.sent_body)
+        assert normalize(answer.body) == sent
+        return
     assert last.first == last.after + 1
     assert last_id == LAST_EVENT or not last.tells_end
 
@@ -249,7 +272,7 @@
     assert last.status == 200 and last.script.is_stream
     assert last.tells_end or last.ends_quietly
     assert last.tells_end or answer.end is AnswerEnd.CLOSED
-    check_all_arrived(answer, asked)
+    check_all_arrived(answer, asked, caller)
 
 
 def expected_end(asked, caller):
@@ -260,22 +283,31 @@
     if (first := begun_before(asked)) is not None:
         return expected_end_of_continuation(asked, first, caller)
     if last.status == 200 and last.script.is_stream:
-        may_be_empty = caller.after is not None and last.tells_end
-        if not (last.begins_stream or may_be_empty):
+        if not (last.begins_stream or is_answer_to_rest(last, caller)):
             # Nothing was passed on, so that another server is asked for the events.
             return None
         return end_towards(caller, last)
     return AnswerEnd.WHOLE if last.script.framing.tells_end else AnswerEnd.CLOSED
 
 
+def is_answer_to_rest(last, caller):
+    """Tell whether a stream may be empty: its caller may have all events already."""
+    return caller.after is not None and last.tells_end
+
+
 def expected_end_of_continuation(asked, first, caller):
     last = asked[-1]
+    is_anew = begins_anew(asked)
     is_next = last.after is not None and last.first == last.after + 1
-    if not (last.status == 200 and last.script.is_stream and is_next):
+    if not (last.status == 200 and last.script.is_stream and (is_anew or is_next)):
+        return None
+    if is_anew and not (last.begins_stream or is_answer_to_rest(last, caller)):
+        # Nothing but preambles was passed on, so that another server is asked.
         return None
     if not last.tells_end:
         # Chunks were begun for this caller, or nothing tells that there is no more.
-        is_unknown = first.script.framing.tells_end or last.first > LAST_EVENT
+        has_none = last.first > LAST_EVENT and not (is_anew and last.begins_stream)
+        is_unknown = first.script.framing.tells_end or has_none
         return None if is_unknown else AnswerEnd.CLOSED
     return end_towards(caller, first)
 
