Answer HEAD and compressed streams as their servers do

What callers saw: Content-Length: 0 for HEAD where the server gave another length; 502 for HEAD of a stream; 502 for a whole compressed stream of events.

Cause: the length of the empty body was taken for that of an answer to GET, and both kinds of answers were split into events, of which they have none.

Change: an answer to HEAD without a body gets no length of its own, and neither it nor an answer with a content encoding counts as a stream of events. The latter is passed on whole, with the end told as its server told it, and does not go on with a broken stream.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -18,6 +18,7 @@
 
 _OK = 200
 _INTERNAL_ERROR = 500
+_PLAIN_ENCODINGS = ("", "identity")
 _NO_SERVER_RETRY_S = 0.5
 _REFUSALS = ("server-refused", "server-failed")
 _BLAMELESS = ("server-error", "not-continued", "end-not-told")
@@ -348,7 +349,10 @@
 
 
 def _is_stream(exchange, call):
-    if call.head.status != _OK:
+    if call.head.status != _OK or exchange.request.method == "HEAD":
+        return False
+    if _is_encoded(call):
+        # Its bytes are no events, and a part of them can't be gone on with.
         return False
     kind = call.header("content-type")
     if kind is None:
@@ -356,3 +360,8 @@
         is_expected = exchange.route.kind is RouteKind.STREAMING
         return is_expected and not call.framing.tells_end
     return is_event_stream(kind)
+
+
+def _is_encoded(call):
+    encoding = call.header("content-encoding")
+    return encoding is not None and encoding.strip().lower() not in _PLAIN_ENCODINGS
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends_review.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends_review.py
@@ -201,3 +201,32 @@
         assert [server.health.failures for server in servers] == [1, 0]
 
     run_routed(main)
+
+
+def test_a_compressed_stream_that_only_its_connection_ends_is_not_framed_as_whole():
+    """Taken for a stream of events, it was refused; a length would claim its end."""
+    body = gzip.compress(events(1, 3), mtime=0)
+    data = head(framing=b"content-encoding: gzip") + body
+    answer = ask(says(data))
+    assert (answer.status, answer.body, answer.end) == (200, body, AnswerEnd.CLOSED)
+
+
+@pytest.mark.parametrize("encoding", [b"identity", b"Identity", b""])
+def test_a_stream_that_names_no_encoding_is_one_of_events(encoding):
+    """Taken for a plain answer, it would end as whole within an event."""
+    begin = head(framing=b"content-encoding: " + encoding)
+    answer = ask(says(begin + events(1, 3) + b"id: 4\n"), says(chunked(events(4, 6))))
+    assert answer.body == events(1, 6)
+
+
+def test_a_compressed_stream_does_not_go_on_with_a_plain_one():
+    body = gzip.compress(events(4, 6), mtime=0)
+    lines = b"content-length: %d\r\ncontent-encoding: gzip" % len(body)
+    answer = ask(BROKEN, says(head(framing=lines) + body))
+    assert (answer.body, answer.end) == (events(1, 3), AnswerEnd.CUT)
+
+
+def test_head_of_an_answer_without_framing_is_whole():
+    """With the connection as its end, an answer without a body would be a reset."""
+    answer = ask_head(head(kind=b"text/plain"), "/read/x")
+    assert (answer.status, answer.body, answer.end) == (200, b"", AnswerEnd.WHOLE)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -167,7 +167,7 @@
         no_body = req.method == "HEAD" or resp.status in _BODYLESS
         if resp.until_close and not no_body:
             self._channel.send_no_chunks()
-        elif whole and resp.status not in _BODYLESS:
+        elif whole and _is_length_known(req, resp):
             headers.append(("content-length", str(len(resp.body))))
         head = h11.Response(status_code=resp.status, headers=_encode(headers))
         has_length = whole and not resp.until_close
@@ -223,6 +223,11 @@
     return refusal_of(408, "idle-connection", "connection closed for being idle")
 
 
+def _is_length_known(req, resp):
+    # An empty body for HEAD doesn't tell how long that for GET is.
+    return resp.status not in _BODYLESS and (resp.body or req.method != "HEAD")
+
+
 async def _close_body(body):
     if hasattr(body, "aclose"):
         with trio.CancelScope(shield=True, deadline=trio.current_time() + _LINGER_S):
