Tell the end of a whole answer that its connection ends

What callers saw: over TLS, a whole answer without length and chunks as cut, if they hold to the protocol; with 200 kB of requests sent ahead, a reset in the place of the last part of a whole answer.

Cause: TLS connections were closed without close_notify. Input that nobody reads any more turns a close into a reset, which takes what is still under way.

Change: the end is told after the task that reads has ended. Over TLS, the server waits until the socket takes more, under the slow reader's deadline, and else resets; then it reads what has come, as TLS sends no close_notify before unread input, and sends the notify. After that, with and without TLS, it reads on as after a refusal: for a second and 256 KiB at most. A caller that sends more than that ahead may still see a reset. The test of HEAD guards the connection of an answer without a body, which nothing did.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/network.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/network.py
@@ -11,6 +11,7 @@
 __all__ = [
     "TcpNetwork",
     "has_pending_input",
+    "has_tls",
     "listener_address",
     "set_reset_on_close",
 ]
@@ -145,6 +146,22 @@
     return stream.is_readable()
 
 
+def has_tls(stream):
+    """
+    Tell whether a stream is encrypted, so that its end needs a close_notify.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Of any network here.
+
+    Returns
+    -------
+    bool
+    """
+    return isinstance(stream, trio.SSLStream)
+
+
 def set_reset_on_close(stream, is_on):
     """
     Have the close of a stream reset its connection instead of ending it.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -11,7 +11,7 @@
 from gooseberryyoke_daemon.wire.channel import STREAM_ERRORS, Channel
 from gooseberryyoke_daemon.wire.exceptions import BodyCut, RequestRefused
 from gooseberryyoke_daemon.wire.message import problem_response
-from gooseberryyoke_daemon.wire.network import set_reset_on_close
+from gooseberryyoke_daemon.wire.network import has_tls, set_reset_on_close
 from gooseberryyoke_daemon.wire.reading import read_request, refusal_of
 from gooseberryyoke_daemon.wire.server_channel import ServerChannel
 
@@ -19,6 +19,8 @@
 
 _LINGER_S = 1.0
 _LINGER_BYTES = 256 * 1024
+_DRAIN_S = 0.01
+"""For reading what has come over TLS before the end of an answer is told."""
 _BODYLESS = (204, 304)
 _PIECE_BYTES = 64 * 1024
 """Of a long answer, written at once. A reader that takes one such piece within
@@ -41,7 +43,15 @@
         Closed by the owner.
     """
 
-    __slots__ = ("_server", "_limits", "_channel", "_scope", "_late", "_gone")
+    __slots__ = (
+        "_server",
+        "_limits",
+        "_channel",
+        "_scope",
+        "_late",
+        "_gone",
+        "_is_end_due",
+    )
 
     def __init__(self, server, stream):
         self._server = server
@@ -52,6 +62,8 @@
         self._scope = trio.CancelScope()
         self._late = None
         self._gone = False
+        # A whole answer was sent whose end is that of the connection.
+        self._is_end_due = False
 
     async def serve(self):
         """Serve until either end closes; failures of the peer end here."""
@@ -69,6 +81,9 @@
                 self._server.note_memory_full()
             with suppress(*STREAM_ERRORS):
                 await _send_last(self._channel, refusal)
+        elif self._is_end_due:
+            with suppress(*STREAM_ERRORS):
+                await self._end_answer()
 
     async def _serve_exchanges(self):
         try:
@@ -177,10 +192,24 @@
         # Until the body is whole, any end of the connection has to look like a cut.
         set_reset_on_close(self._channel.stream, True)
         await self._send_body(head, resp, no_body)
-        set_reset_on_close(self._channel.stream, False)
-        # What ends this end's reading from now on may be the close, not the peer.
-        self._channel.end_answer()
-        await _end_stream(self._channel.stream)
+        # The end follows when nothing reads any more: that of TLS needs the reader.
+        self._is_end_due = True
+
+    async def _end_answer(self):
+        stream = self._channel.stream
+        if has_tls(stream):
+            with trio.move_on_after(self._limits.slow_reader_s) as scope:
+                await stream.wait_send_all_might_not_block()
+            if scope.cancelled_caught:
+                # The close resets, as the end of TLS can't be told any more.
+                self._slow_reader()
+                return
+        set_reset_on_close(stream, False)
+        with trio.move_on_after(_LINGER_S):
+            if has_tls(stream):
+                await _linger_with_tls(stream)
+            else:
+                await _linger(stream)
 
     async def _send_body(self, head, resp, no_body):
         if isinstance(resp.body, bytes):
@@ -250,18 +279,29 @@
         await _linger(channel.stream)
 
 
-async def _end_stream(stream):
-    if hasattr(stream, "send_eof"):
-        await stream.send_eof()
-    else:
-        await stream.aclose()
-
-
 async def _linger(stream):
     # Closing a socket with unread input resets the connection, and the peer may
     # lose the answer already sent; reading the rest for a while avoids it.
     if hasattr(stream, "send_eof"):
         await stream.send_eof()
+    await _drop_input(stream)
+
+
+async def _linger_with_tls(stream):
+    """Send close_notify and read on for a while, as without TLS."""
+    transport = stream.transport_stream
+    try:
+        # Nothing is sent while decrypted input is unread.
+        with suppress(*STREAM_ERRORS), trio.move_on_after(_DRAIN_S):
+            await _drop_input(stream)
+        with suppress(*STREAM_ERRORS):
+            await stream.unwrap()
+        await _drop_input(transport)
+    finally:
+        await trio.aclose_forcefully(transport)
+
+
+async def _drop_input(stream):
     left_bytes = _LINGER_BYTES
     while left_bytes > 0 and (data := await stream.receive_some(left_bytes)):
         left_bytes -= len(data)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_until_close.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_until_close.py
@@ -9,6 +9,7 @@
     Address,
     BodyCut,
     HttpServer,
+    Limits,
     Response,
     TcpNetwork,
     listener_address,
@@ -16,6 +17,9 @@
 from gooseberryyoke_daemon.wire.tests.test_wire_tls import contexts
 
 LIMIT_S = 20
+LINGER_S = 1.0
+"""For which the server reads on after an answer that its connection ends."""
+MARGIN_S = 1.0
 ROUNDS = 30
 PART = b"x" * 1000
 LONG = bytes(140_000)
@@ -54,11 +58,11 @@
 
 
 @asynccontextmanager
-async def serving(handler, server_ssl=None):
+async def serving(handler, server_ssl=None, limits=None):
     """Serve on loopback; give the address, the server and the scope it runs in."""
     async with trio.open_nursery() as nursery:
         listeners = await TcpNetwork(server_ssl).listen(Address("127.0.0.1", 0))
-        server = HttpServer(handler)
+        server = HttpServer(handler, limits or Limits())
         await nursery.start(server.run, listeners)
         yield listener_address(listeners[0]), server, nursery.cancel_scope
         nursery.cancel_scope.cancel()
@@ -225,3 +229,93 @@
             assert server.counts["requests"] == 1
 
     run(main)
+
+
+def strict(transport, client_ssl, address):
+    """Make a caller that takes an end without close_notify for a cut."""
+    return trio.SSLStream(transport, client_ssl, server_hostname=address.host)
+
+
+@pytest.mark.parametrize("ahead_bytes", [100, 60_000, 200_000])
+def test_a_caller_that_sends_ahead_over_tls_gets_a_whole_answer(ahead_bytes, tmp_path):
+    """Unread input keeps close_notify back, and a reset takes the end away."""
+
+    async def main():
+        server_ssl, client_ssl = contexts(tmp_path)
+        async with serving(whole, server_ssl) as (address, *_):
+            transport = await TcpNetwork().connect(address)
+            stream = strict(transport, client_ssl, address)
+            async with trio.open_nursery() as nursery:
+                request = REQUESTS["until close"]
+                ahead = request * (ahead_bytes // len(request))
+                nursery.start_soon(stream.send_all, request + ahead)
+                await trio.sleep(0.3)
+                assert await read_to_end(stream) == LONG
+                nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+@pytest.mark.parametrize("is_tls", [False, True], ids=["tcp", "tls"])
+def test_a_caller_that_keeps_its_end_open_is_not_kept(is_tls, tmp_path):
+    """Reading on without a bound would hold connections as long as callers like."""
+
+    async def main():
+        server_ssl, client_ssl = contexts(tmp_path) if is_tls else (None, None)
+        async with serving(whole, server_ssl) as (address, server, _):
+            stream = await TcpNetwork(client_ssl=client_ssl).connect(address)
+            await stream.send_all(REQUESTS["until close"])
+            assert await read_to_end(stream) == LONG
+            with trio.fail_after(LINGER_S + MARGIN_S):
+                while server.open_connections:
+                    await trio.sleep(0.01)
+
+    run(main)
+
+
+@pytest.mark.parametrize("size", [1000, 140_000, 1_000_000, 2_600_000, 6_000_000])
+def test_a_late_strict_caller_gets_all_or_sees_a_cut(size, tmp_path):
+    """The end of TLS has the slow reader's deadline, and must not stand for a part."""
+    body = bytes(size)
+    limits = Limits(slow_reader_s=0.3)
+
+    async def answer(request):
+        return Response(200, [], body, until_close=True)
+
+    async def main():
+        server_ssl, client_ssl = contexts(tmp_path)
+        async with serving(answer, server_ssl, limits) as (address, server, _):
+            transport = await TcpNetwork().connect(address)
+            stream = strict(transport, client_ssl, address)
+            await stream.send_all(REQUESTS["until close"])
+            await trio.sleep(0.1)
+            with trio.fail_after(limits.slow_reader_s + LINGER_S + MARGIN_S):
+                while server.open_connections:
+                    await trio.sleep(0.01)
+            try:
+                assert await read_to_end(stream) == body
+            except trio.BrokenResourceError:
+                assert server.counts["slow-reader"] == 1
+
+    run(main)
+
+
+def test_an_answer_to_head_does_not_end_with_its_connection():
+    """Without a body nothing is left to tell; a close would lose the next request."""
+
+    async def answer(request):
+        return Response(200, [], b"", until_close=True)
+
+    async def main():
+        async with serving(answer) as (address, server, _):
+            stream = await TcpNetwork().connect(address)
+            head = REQUESTS["until close"].replace(b"GET", b"HEAD")
+            for number in (1, 2):
+                await stream.send_all(head)
+                received = await stream.receive_some()
+                assert received.startswith(b"HTTP/1.1 200")
+                assert received.endswith(b"\r\n\r\n")
+                assert b"content-length" not in received.lower()
+                assert server.counts["requests"] == number
+
+    run(main)
