Check how a stream without framing ends, and the count of such ends

The test of a stream that goes on where it is seen to break took a last chunk for right, which would claim that a stream without framing is whole; it now expects the end of the connection. Nothing checked the metric ends_not_told_total: the new test fails if it is not counted.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_answer_ends.py
@@ -142,8 +142,7 @@
     """A reset, or an end within an event, tells that the stream was broken off."""
     first = says(unframed(events(1, 3) + rest), end)
     answer = ask(first, says(chunked(events(4, 6))))
-    assert answer.body == events(1, 6)
-    assert answer.end is not AnswerEnd.CUT
+    assert (answer.body, answer.end) == (events(1, 6), AnswerEnd.CLOSED)
 
 
 def test_a_continuation_without_framing_does_not_make_a_stream_whole():
@@ -269,3 +268,22 @@
     broken = says(chunked(b": on\n\n", last=False))
     answer = ask(broken, says(chunked(b"")))
     assert (answer.body, answer.end) == (b": on\n\n", AnswerEnd.CUT)
+
+
+@pytest.mark.parametrize(
+    ("frame", "count"), [(unframed, [b"1"]), (chunked, []), (sized, [])]
+)
+def test_answers_whose_end_is_not_told_are_counted(frame, count):
+    """Operators could not see how many answers may have been cut off unnoticed."""
+    counted = []
+
+    async def main(session):
+        session.node.observer.load()
+        await session.add("i-0", None, handler=says(frame(events(1, 3))))
+        await session.ask("/draw/x")
+        name = b'gooseberryyoke_ends_not_told_total{service="s"} '
+        lines = session.node.render_metrics().splitlines()
+        counted.extend(line[len(name) :] for line in lines if line.startswith(name))
+
+    run_routed(main)
+    assert counted == count
