Name only parts as ended under that are still held

What callers see: where 256 parts are suspected with two ends or more each, the next end under a request with several new parts fails the request inside the gateway, and no other gateway hears of that end.

Cause: each new part evicts the one with the fewest ends, which is the new part before it. Suspects.end named both, and Quarantine looked up the count of one that was gone.

Evidence: test_only_parts_that_are_kept_are_named_as_ended_under failed before.

Change: parts that had to make room are left out of what is returned.

--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -249,9 +249,10 @@
         Returns
         -------
         list of str
-            Parts against which that is new.
+            Parts against which that is new, but for those that had to make room.
         """
-        return [part for part in parts if self._suspicion(part).add_end(life, at_s)]
+        new = [part for part in parts if self._suspicion(part).add_end(life, at_s)]
+        return [part for part in new if part in self._suspicions]
 
     def _suspicion(self, part):
         suspicion = self._suspicions.get(part)
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
@@ -99,6 +99,15 @@
     assert suspects.proof_s("q4") == 604.0
 
 
+def test_only_parts_that_are_kept_are_named_as_ended_under():
+    """A full table's newest parts evict each other; a gateway asks for those named."""
+    suspects = Suspects("g0")
+    for number in range(256):
+        ended(f"closed{number}", 2, suspects=suspects)
+    changed = suspects.end("life", ["a", "b", "c"], 200.0)
+    assert all(suspects.get(part) is not None for part in changed)
+
+
 @pytest.mark.parametrize("known", [True, False])
 def test_an_end_before_a_proof_is_told_back_to_its_teller(known):
     """A gateway that has missed a proof would hold the part's requests for ever."""
