Look once whether a server has ended for all requests it cut off

What callers see: where a live server resets fifty requests at once, the last one is sent to another server 2.6 s later, and later than its deadline where connections to the server hang.

Cause: requests waited for the look of another one, and then each looked itself, as only an end was remembered. The looks ran one after the other, 0.05 s each, or 0.35 s over a cut link.

Evidence: test_many_requests_cut_off_by_a_live_server_are_looked_after_at_once took 2.6 s of simulated time and 100 connections before, less than 0.1 s and two since.

Change: those who wait take the answer of the look. A request that breaks after the last connection was tried begins a new look, so that no end is missed; if the one that looks is cancelled, another one takes over.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server_ends.py
@@ -60,26 +60,49 @@
         """
         life = life_of(server)
         while life not in self._ended:
-            if life in self._looks:
-                # Many requests break at once where a server ends.
-                await self._looks[life].wait()
-                continue
-            if not await self._look(life, server.address):
-                return False
+            look = self._looks.get(life)
+            if look is None:
+                return await self._look(life, server.address)
+            # Many requests break at once where a server ends, or cuts them off.
+            await look.over.wait()
+            if look.is_refused is not None:
+                return look.is_refused
         return True
 
     async def _look(self, life, address):
-        look = self._looks[life] = trio.Event()
+        look = self._looks[life] = _Look()
         try:
             is_refused = await self._client.is_refused(address)
             if not is_refused:
                 await trio.sleep(_LOOK_AGAIN_S)
+                # The server may end under a request that breaks only after this.
+                del self._looks[life]
                 is_refused = await self._client.is_refused(address)
             if is_refused:
                 self._ended[life] = trio.current_time()
                 if len(self._ended) > _MOST_KEPT:
                     self._ended.popitem(last=False)
+            look.is_refused = is_refused
             return is_refused
         finally:
-            del self._looks[life]
-            look.set()
+            if self._looks.get(life) is look:
+                del self._looks[life]
+            look.over.set()
+
+
+class _Look:
+    """
+    One for all requests that broke at a server before its last connection was tried.
+
+    Attributes
+    ----------
+    over : trio.Event
+    is_refused : bool or None
+        None until it is over, and if it was cancelled.
+    """
+
+    __slots__ = ("over", "is_refused")
+
+    def __init__(self):
+        self.over = trio.Event()
+        self.is_refused = None
