Test requests in all states while a part of their prompts is suspected

Covered on the network in memory: waiting for a trial or for a place when the part is closed, a resumed stream, the gateway with the trial killed, a gateway that starts late, a third of the datagrams lost, engines that reset or fall silent but live, parts that are all proven, all engines ending at once, records of unknown senders and of odd form.

CrashFleet gets engines that end after some events, plain answers, and what a refusal says of coming back.

--- /dev/null
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -0,0 +1,246 @@
+"""The load: requests in all states while a part of their prompts is suspected."""
+
+from random import Random
+
+import orjson
+import pytest
+import trio
+
+from gooseberryyoke_daemon.testing.crash_fleet import DEADLY, run_fleet
+from gooseberryyoke_daemon.wire import Address
+from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
+
+PART = "a"
+CLOSED = 5
+"""Ends after which a part is sent no more."""
+BEGUN_S = 0.05
+"""After which a request is at an engine that has given no event yet."""
+TRIAL_S = 3.0
+
+
+def hold(fleet, ends, part=PART, gateway="g0"):
+    """Have a gateway know of servers that ended under a part, a second apart."""
+    quarantine, now = fleet.nodes[gateway].quarantine, trio.current_time()
+    for number in range(ends):
+        quarantine.suspects.end(f"life{number}", [part], now - number)
+    quarantine.news.tell([part])
+
+
+def count(fleet, part=PART, gateway="g0"):
+    suspicion = fleet.nodes[gateway].quarantine.suspects.get(part)
+    return 0 if suspicion is None else len(suspicion.ends_s)
+
+
+def run(main, gateways=1, engines=4):
+    """Give what a test on a fleet returns."""
+    found = []
+
+    async def note(fleet):
+        found.append(await main(fleet))
+
+    run_fleet(note, gateways, engines)
+    return found[0]
+
+
+async def during(fleet, trouble, parts=(PART,)):
+    """Give the answer to a request with which something happens at its engine."""
+    answers = []
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.ask, list(parts), answers)
+        await trio.sleep(BEGUN_S)
+        trouble()
+    return answers[0]
+
+
+def is_not_run(answer):
+    """Tell whether a refusal says truthfully that its request may be sent again."""
+    may_come_back = answer.retry_after is not None
+    says_so = (answer.status, answer.verdict) == (503, "not-run")
+    return says_so and may_come_back and not answer.attempts
+
+
+def test_a_request_that_waits_is_refused_when_its_part_is_closed():
+    """It was sent when the trial was over, to the next server."""
+
+    async def main(fleet):
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, [DEADLY], answers)
+            # The first one's end, a second's pause, and its trial has just begun.
+            await trio.sleep(1.16)
+            nursery.start_soon(fleet.ask, [DEADLY, PART], answers)
+        return sorted(answers, key=lambda a: a.sent_s), len(fleet.crashes)
+
+    (tried, waited), crashes = run(main)
+    assert crashes == 2
+    assert (tried.status, tried.verdict, tried.attempts) == (502, "may-have-run", 2)
+    assert is_not_run(waited)
+    assert 20 <= float(waited.retry_after) <= 30
+
+
+def test_a_request_in_line_for_a_place_is_refused_when_its_part_is_closed():
+    """It has passed the first check, and is sent minutes later under load."""
+
+    async def main(fleet):
+        others, answers = [], []
+        async with trio.open_nursery() as nursery:
+            for _ in range(12):
+                nursery.start_soon(fleet.ask, ["b"], others)
+            await trio.sleep(BEGUN_S)
+            nursery.start_soon(fleet.ask, [DEADLY], answers)
+            await trio.sleep(BEGUN_S)
+            hold(fleet, 2, DEADLY)
+        return answers[0], fleet.deadly_arrivals
+
+    answer, arrivals = run(main, engines=1)
+    assert is_not_run(answer)
+    assert not arrivals
+
+
+def test_a_resumed_stream_is_a_request_like_any_other():
+    """Streams that end their server after their first events went to the next one."""
+
+    async def main(fleet):
+        fleet.deadly_after = 3
+        first = await fleet.ask_one([DEADLY])
+        return first, await fleet.ask_one([DEADLY]), len(fleet.deadly_arrivals)
+
+    first, second, arrivals = run(main)
+    assert (first.status, arrivals) == (None, 2)
+    assert is_not_run(second)
+
+
+def test_a_trial_of_a_gateway_that_is_killed_lapses():
+    """The other gateways would wait for its end for ever."""
+
+    async def main(fleet):
+        hold(fleet, 1)
+        await trio.sleep(1.1)
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, [PART], answers, "g0")
+            await trio.sleep(BEGUN_S)
+            fleet.kill_gateway("g0")
+            nursery.start_soon(fleet.ask, [PART], answers, "g1")
+        return max(answers, key=lambda a: a.sent_s)
+
+    answer = run(main, gateways=2)
+    assert answer.status == 200
+    assert TRIAL_S - 0.1 < answer.took_s < TRIAL_S + 1.0
+
+
+def test_a_gateway_that_starts_hears_of_closed_parts():
+    """It knows nothing, and its callers come back at once."""
+
+    async def main(fleet):
+        fleet.kill_gateway("g1")
+        hold(fleet, CLOSED, DEADLY)
+        await trio.sleep(2.0)
+        await fleet.start_gateway("g1")
+        await trio.sleep(1.1)
+        return await fleet.ask_one([DEADLY], "g1")
+
+    assert is_not_run(run(main, gateways=3))
+
+
+def test_all_gateways_learn_though_a_third_of_the_datagrams_is_lost(monkeypatch):
+    rng, deliver = Random(1), MemoryEndpoint.deliver
+
+    def lose_some(endpoint, data):
+        if rng.random() > 1 / 3:
+            deliver(endpoint, data)
+
+    monkeypatch.setattr(MemoryEndpoint, "deliver", lose_some)
+
+    async def main(fleet):
+        hold(fleet, CLOSED, DEADLY)
+        await trio.sleep(3.0)
+        return [await fleet.ask_one([DEADLY], f"g{n}") for n in range(6)]
+
+    assert all(map(is_not_run, run(main, gateways=6)))
+
+
+@pytest.mark.parametrize("trouble", ["reset", "silence", "cut"])
+def test_an_engine_that_lives_has_not_ended(trouble):
+    """Links that fail, and engines that cut some requests off, close no part."""
+
+    async def main(fleet):
+        def strike():
+            for number in range(4):
+                getattr(fleet.network, trouble)(f"10.1.0.{number}", "10.7.0.0")
+            if trouble == "cut":
+                fleet.network.heal("10.1.0.0", "10.7.0.0")
+
+        await during(fleet, strike)
+        for number in range(4):
+            fleet.network.heal(f"10.1.0.{number}", "10.7.0.0")
+        return count(fleet), await fleet.ask_one([PART])
+
+    ends, answer = run(main)
+    assert ends == 0
+    assert (answer.status, answer.took_s < 0.6) == (200, True)
+
+
+def test_a_request_of_proven_parts_is_sent_on_at_once():
+    """Plain ends must cost sound requests no more than before."""
+
+    async def main(fleet):
+        now = trio.current_time()
+        fleet.nodes["g0"].quarantine.suspects.prove([DEADLY], now)
+        return await fleet.ask_one([DEADLY])
+
+    answer = run(main)
+    assert (answer.attempts, answer.took_s < 0.5) == (2, True)
+
+
+def test_all_engines_that_end_at_once_close_no_part():
+    """A power cut ends all engines under whatever runs there."""
+
+    async def main(fleet):
+        parts = [[PART, f"b{number % 5}"] for number in range(20)]
+        lost, answers = [], []
+        async with trio.open_nursery() as nursery:
+            for each in parts:
+                nursery.start_soon(fleet.ask, each, lost)
+            await trio.sleep(BEGUN_S)
+            for engine in fleet.running():
+                fleet.crash(engine)
+        await trio.sleep(4.0)
+        async with trio.open_nursery() as nursery:
+            for each in parts:
+                nursery.start_soon(fleet.ask, each, answers)
+        return lost, answers
+
+    lost, answers = run(main, gateways=3)
+    assert any(answer.status != 200 for answer in lost)
+    assert all(answer.status == 200 for answer in answers)
+
+
+ENDS = {f"life{number}": 1000 * number for number in range(CLOSED)}
+NOT_TAKEN = [
+    ["g9", [[PART, ENDS, None, None]]],
+    ["g0", [[PART, ENDS, None, None]]],
+    [["g1"], [[PART, ENDS, None, None]]],
+    [None, [[PART, ENDS, None, None]]],
+    ["g1", 7],
+    ["g1", {PART: ENDS}],
+    ["g1", [[PART, [], None, None]]],
+    ["g1", [[PART, ENDS, -1, None]]],
+]
+
+
+@pytest.mark.parametrize("told", NOT_TAKEN, ids=lambda told: str(told)[:30])
+def test_only_well_formed_records_of_known_gateways_are_taken(told):
+    """Whoever reaches the port could have any prompt refused, or end the gateway."""
+
+    async def main(fleet):
+        address = Address("10.7.0.0", 71)
+        fleet.network.endpoints[address].deliver(orjson.dumps([4, *told]))
+        await trio.sleep(0.01)
+        before = count(fleet)
+        true = [4, "g1", [[PART, ENDS, None, None]]]
+        fleet.network.endpoints[address].deliver(orjson.dumps(true))
+        await trio.sleep(0.01)
+        return before, count(fleet)
+
+    assert run(main, gateways=2, engines=1) == (0, CLOSED)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -54,11 +54,25 @@
         Of a gateway's own answer.
     attempts : int
         Engines at which the request arrived.
+    took_s : float
+        Until the end of its answer.
+    retry_after : str or None
+        Of a refusal.
     """
 
-    __slots__ = ("sent_s", "parts", "status", "verdict", "attempts")
-
-    def __init__(self, sent_s, parts, status, verdict, attempts):
+    __slots__ = (
+        "sent_s",
+        "parts",
+        "status",
+        "verdict",
+        "attempts",
+        "took_s",
+        "retry_after",
+    )
+
+    def __init__(self, sent_s, parts, status, verdict, attempts, took_s, retry_after):
+        self.took_s = took_s
+        self.retry_after = retry_after
         self.sent_s = sent_s
         self.parts = parts
         self.status = status
@@ -88,14 +102,18 @@
         parts = shared_parts(request.header(NAMES.prompt_parts))
         self._fleet.note_arrival(request.header(NAMES.attempt_id), parts)
         headers = [(NAMES.signature, "sig"), ("content-type", "text/event-stream")]
+        if not request.target.startswith("/draw/"):
+            await trio.sleep(_READ_S)
+            return Response(200, headers[:1], b"plain")
         after = int(request.header("last-event-id", 0))
         return Response(200, headers, self._events(parts, after))
 
     async def _events(self, parts, after):
         await trio.sleep(_READ_S)
-        if DEADLY in parts:
-            self._fleet.crash(self)
         for number in range(after + 1, _EVENTS + 1):
+            if DEADLY in parts and number > after + self._fleet.deadly_after:
+                self._fleet.crash(self)
+                await trio.sleep_forever()
             yield b"id: %d\ndata: x\n\n" % number
             await trio.sleep(_EVENT_S)
 
@@ -117,6 +135,8 @@
         When engines crashed, on trio's clock.
     deadly_arrivals : list of float
         When requests with the deadly part reached engines.
+    deadly_after : int
+        Events that an engine gives before the deadly part crashes it.
     """
 
     def __init__(self, nursery, gateways, engines, seed):
@@ -124,6 +144,7 @@
         self.rng = Random(seed)
         self.crashes = []
         self.deadly_arrivals = []
+        self.deadly_after = 0
         self.nodes = {}
         self._servers = {}
         self._engines = {}
@@ -232,10 +253,19 @@
         for servers in self._servers.values():
             servers.take([entry])
 
+    def running(self):
+        """
+        List the engines that run.
+
+        Returns
+        -------
+        list of _Engine
+        """
+        return [e for e in self._engines.values() if not e.scope.cancel_called]
+
     def crash_any(self):
         """Crash an engine for a reason that lies in no request."""
-        running = [e for e in self._engines.values() if not e.scope.cancel_called]
-        self.crash(self.rng.choice(running))
+        self.crash(self.rng.choice(self.running()))
 
     def note_arrival(self, number, parts):
         """
@@ -250,7 +280,7 @@
         if DEADLY in parts:
             self.deadly_arrivals.append(trio.current_time())
 
-    async def ask(self, parts, answers, gateway=None):
+    async def ask(self, parts, answers, gateway=None, path="/draw/x"):
         """
         Send a request and note what becomes of it.
 
@@ -262,6 +292,8 @@
             Appended to.
         gateway : str, optional
             By default any.
+        path : str
+            Answers are plain but for those of ``/draw/``.
         """
         self._asked += 1
         number = f"r{self._asked}"
@@ -274,19 +306,40 @@
             (NAMES.prompt_parts, prompt),
             ("authorization", f"Bearer {KEY}"),
         ]
-        request = Request("POST", "/draw/x", headers, b"body")
+        request = Request("POST", path, headers, b"body")
         caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
-        sent_s, status, verdict = trio.current_time(), None, None
+        sent_s = trio.current_time()
+        status = verdict = retry_after = None
         try:
             async with caller.open(Address.parse(entry.address), request) as reply:
                 await reply.read()
                 status = reply.status
                 verdict = reply.header("gooseberryyoke-verdict")
+                retry_after = reply.header("retry-after")
         except WireError:
             # Broken off: the status stays None.
             status = None
-        attempts = self._arrivals.get(number, 0)
-        answers.append(Answer(sent_s, tuple(parts), status, verdict, attempts))
+        attempts, took_s = self._arrivals.get(number, 0), trio.current_time() - sent_s
+        answers.append(
+            Answer(sent_s, tuple(parts), status, verdict, attempts, took_s, retry_after)
+        )
+
+    async def ask_one(self, parts, gateway=None, path="/draw/x"):
+        """
+        Send a request; see `ask`.
+
+        Parameters
+        ----------
+        parts : sequence of str
+        gateway, path : str
+
+        Returns
+        -------
+        Answer
+        """
+        answers = []
+        await self.ask(parts, answers, gateway, path)
+        return answers[0]
 
     async def ask_often(self, rate, for_s, parts_of):
         """
