End a trial whose caller leaves

What callers see: after one end of a server, requests with the part wait for the one on trial. Where its caller left before the first event they waited up to 3 s, and those that had come early were refused with prompt-suspected, though nothing was wrong.

Cause: the relay ended a trial where its attempt failed or its answer ended, and not where the attempt was cancelled, so that the trial was told as under way until it lapsed.

Evidence: test_a_trial_whose_caller_leaves_is_over took more than 1 s before; now the next request is sent at once.

Change: an attempt that ends in any other way ends its trial and tells the others.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -107,8 +107,8 @@
                 unsent += not sent
                 refusal = await self._after(exchange, server, exc, unsent)
             except BaseException:
-                # Its caller has left: others need not wait for what the trial shows.
-                self.note_over(exchange)
+                # The caller has left, or the gateway has no room for the answer.
+                self._quarantine.note_over(exchange)
                 raise
             if refusal is not None:
                 return Failure(refusal)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -59,6 +59,20 @@
     return says_so and may_come_back and not answer.attempts
 
 
+def test_a_trial_whose_caller_leaves_is_over():
+    """Nobody ended it: the requests that waited for it were refused after 3 s."""
+
+    async def main(fleet):
+        hold(fleet, 1)
+        await trio.sleep(1.1)
+        with trio.move_on_after(BEGUN_S):
+            await fleet.ask_one([PART])
+        return await fleet.ask_one([PART])
+
+    answer = run(main)
+    assert (answer.status, answer.took_s < 1.0) == (200, True)
+
+
 def test_a_request_that_waits_is_refused_when_its_part_is_closed():
     """It was sent when the trial was over, to the next server."""
 
