Have plain answers prove the parts of their prompts

What callers see: on routes whose answers are no streams, one plain end of a server made the requests with each part that ran there go one at a time, 3 s apart; the others were refused with prompt-suspected, for as long as such requests came.

Cause: only the end of a stream, or half a second of its events, was noted as proof. A whole plain answer neither proved the parts of its prompt nor ended its trial. A trial that a server answered with an error went on for 3 s as well.

Evidence: test_a_plain_answer_proves_the_parts_of_its_prompt got 503 for the second request after one end; with this commit three in a row are answered within 0.5 s each.

Change: a whole answer with status 200 proves the parts; any other one ends the trial.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -162,6 +162,11 @@
             detail = f"status {head.status}"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "server-error", detail)
         call.server.health.succeeded()
+        if head.status == _OK:
+            self.note_held(exchange)
+        else:
+            # A server that turns a prompt down need not have worked on its parts.
+            self.note_over(exchange)
         self.note_answered(exchange, call)
         self.note_over(exchange)
         await call.close()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -73,6 +73,17 @@
     assert (answer.status, answer.took_s < 1.0) == (200, True)
 
 
+def test_a_plain_answer_proves_the_parts_of_its_prompt():
+    """Only streams did: a part of plain requests was tried each 3 s, for ever."""
+
+    async def main(fleet):
+        hold(fleet, 1)
+        await trio.sleep(1.1)
+        return [await fleet.ask_one([PART], path="/read/x") for _ in range(3)]
+
+    assert [(a.status, a.took_s < 0.5) for a in run(main)] == [(200, True)] * 3
+
+
 def test_a_request_that_waits_is_refused_when_its_part_is_closed():
     """It was sent when the trial was over, to the next server."""
 
