Try a part proven lately one by one where many servers ended under it

What callers see: a part that was sound and then begins to crash servers ended a whole fleet of ten at once, and again three seconds later, before any of its requests was held.

Cause: ends within half a second count as one, and a part proven within the last minute may run into two by chance. Requests that come together end many servers together, so that ten ends counted as one, and one as none.

Change: where more than four servers have ended under such a part, it counts as one end at least, and one end less is put down to chance. A sound part is proven by the next answer that holds.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -58,6 +58,22 @@
     assert outcome["served"] > 0.9
 
 
+def test_a_part_that_was_sound_and_begins_to_crash_engines_is_sent_to_few():
+    """Proven lately, it ended all engines twice: many ends at once count as one."""
+    outcome = {}
+
+    async def main(fleet):
+        fleet.deadly_after = 99
+        await fleet.ask_often(RATE, 3.0, deadly_in(0.2))
+        fleet.deadly_arrivals.clear()
+        fleet.deadly_after = 0
+        await fleet.ask_often(1.5 * RATE, 12.0, deadly_in(0.2))
+        outcome["sent_on"] = sent_on(fleet)
+
+    run_fleet(main, gateways=2, engines=5)
+    assert outcome["sent_on"] <= MOST_SENT_ON
+
+
 def test_engines_that_crash_for_other_reasons_close_no_part():
     """Parts that merely ran where an engine ended must not be refused for it."""
     outcome = {}
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
@@ -11,6 +11,9 @@
 _ENDS_OF_PROVEN = 2
 """Ends that a part proven lately may have run into by chance: popular parts run at each
 server that ends."""
+_ENDS_OF_CHANCE = 4
+"""Servers that may have ended under such a part, however close to each other, before
+one request is sent on trial: requests that come together end many servers together."""
 _PAUSES_S = (0.0, 1.0, 30.0, 120.0, 600.0)
 """From the last end until a request is sent on trial, by the number of ends."""
 _MOST_ENDS = 8
@@ -106,9 +109,11 @@
             if at_s - last_s >= _SAME_CAUSE_S:
                 counted += 1
                 last_s = at_s
-        if now - self.proof_s < _PROVEN_FOR_S:
-            counted -= _ENDS_OF_PROVEN
-        return max(0, counted)
+        if now - self.proof_s >= _PROVEN_FOR_S:
+            return counted
+        if len(self.ends_s) > _ENDS_OF_CHANCE:
+            return max(1, counted - _ENDS_OF_PROVEN + 1)
+        return max(0, counted - _ENDS_OF_PROVEN)
 
     def may_try_from_s(self, now):
         """
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspicion.py
@@ -53,6 +53,15 @@
     assert suspicion.count(160.0) == ends
 
 
+@pytest.mark.parametrize(("ends", "count"), [(4, 0), (5, 1), (8, 1)])
+def test_many_servers_that_end_together_hold_a_part_proven_lately(ends, count):
+    """A part that begins to crash servers ended all of them, twice, before its third
+    end by the count.
+    """
+    ends_s = [101.0 + 0.01 * number for number in range(ends)]
+    assert ended(*ends_s, proof_s=100.0).count(102.0) == count
+
+
 @pytest.mark.parametrize(
     ("ends", "pause_s"), [(1, 1.0), (2, 30.0), (3, 120.0), (4, 600.0), (5, inf)]
 )
