--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -22,8 +22,9 @@
 _MOST_PROOFS = 4096
 _MOST_SUSPICIONS = 256
 _FORGOTTEN_S = 600.0
-_CLOSED_FORGOTTEN_S = 86_400.0
-"""Of a part that is never tried again."""
+_REFUSED_FORGOTTEN_S = 86_400.0
+"""Of a part whose requests are refused: forgotten sooner, it would end as many servers
+again after each quiet spell."""
 
 
 class ClearanceKind(Enum):
@@ -321,8 +322,8 @@
         now : float
         """
         for part, suspicion in list(self._suspicions.items()):
-            is_closed = suspicion.may_try_from_s(now) == inf
-            kept_s = _CLOSED_FORGOTTEN_S if is_closed else _FORGOTTEN_S
+            is_refused = suspicion.count(now) > 1
+            kept_s = _REFUSED_FORGOTTEN_S if is_refused else _FORGOTTEN_S
             known_s = max(suspicion.seen_s, suspicion.last_end_s, suspicion.proof_s)
             if now - known_s > kept_s or not suspicion.ends_s:
                 del self._suspicions[part]
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
@@ -85,6 +85,16 @@
     assert not suspects.parts()
 
 
+@pytest.mark.parametrize("ends", [2, 3, 4])
+def test_a_refused_part_is_not_free_again_after_a_quiet_spell(ends):
+    """Requests that came each eleven minutes ended three servers or more each time."""
+    suspects = ended("a", ends)
+    suspects.forget(100.0 + DAY_S / 2)
+    assert kind(suspects, ["a"], 100.0 + DAY_S / 2) is TRIAL
+    suspects.forget(101.0 + DAY_S / 2 + DAY_S)
+    assert not suspects.parts()
+
+
 def test_proofs_and_suspicions_are_bounded_and_what_weighs_most_is_kept():
     """Callers choose the parts: their number must not fill a gateway's memory."""
     suspects = ended("closed", 5)
