--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -108,7 +108,7 @@
                 refusal = await self._after(exchange, server, exc, unsent)
             except BaseException:
                 # The caller has left, or the gateway has no room for the answer.
-                self._quarantine.note_over(exchange)
+                self.note_over(exchange)
                 raise
             if refusal is not None:
                 return Failure(refusal)
@@ -168,7 +168,6 @@
             # A server that turns a prompt down need not have worked on its parts.
             self.note_over(exchange)
         self.note_answered(exchange, call)
-        self.note_over(exchange)
         await call.close()
         return Response(head.status, head.headers, body, until_close)
 
