Failing tests: every gateway tries a suspected part at once (BUDGET)

All have the same age of the end, so that waiters wake at the same moment everywhere; news of a trial needs a few ms.

Sound parts that were not known yet share these ends: a request with both parts is a trial of both, or runs where the deadly one ends its engine, and the sound part is refused for 30 s as well.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -91,3 +91,43 @@
     run_fleet(main, gateways=4, engines=6)
     failed = [answer for answer in outcome["answers"] if answer.status != 200]
     assert not failed
+
+
+@pytest.mark.parametrize("gateways", [2, 4])
+def test_one_gateway_alone_tries_a_suspected_part(gateways):
+    """Trials that all gateways begin in the same moment end an engine each."""
+    outcome = {}
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, [DEADLY], [], "g0")
+            await trio.sleep(0.5)
+            for name in fleet.nodes:
+                nursery.start_soon(fleet.ask, [DEADLY], [], name)
+        outcome["crashes"] = len(fleet.crashes)
+
+    run_fleet(main, gateways, engines=6)
+    assert outcome["crashes"] == 2
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_new_part_that_came_with_the_deadly_one_is_not_closed(seed):
+    """A sound part is quarantined if its trial is that of the deadly one, too."""
+    outcome = {}
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, ["new", DEADLY], [], "g0")
+            await trio.sleep(0.5)
+            for name in fleet.nodes:
+                nursery.start_soon(fleet.ask, ["new", DEADLY], [], name)
+                nursery.start_soon(fleet.ask, ["new"], answers, name)
+            await trio.sleep(4.0)
+            nursery.start_soon(fleet.ask, ["new"], answers)
+        outcome["answers"] = answers
+
+    run_fleet(main, gateways=4, engines=6, seed=seed)
+    assert [answer.status for answer in outcome["answers"]] == [200] * 5
