Begin trials of suspected parts at a time of each gateway's own

Cause: all gateways know an end at the same moment, so that requests waiting at all of them were sent on trial within the milliseconds that news needs. A request with a new sound part and the deadly one was a trial of both.

Change: each gateway begins up to 0.5 s later, by a hash of its name and the part; a request with several suspected parts waits 0.7 s longer.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -131,3 +131,25 @@
 
     run_fleet(main, gateways=4, engines=6, seed=seed)
     assert [answer.status for answer in outcome["answers"]] == [200] * 5
+
+
+def test_a_new_part_is_not_closed_for_a_deadly_trial_at_the_same_engine():
+    """A sound part is quarantined if its trial runs where another one ends."""
+    outcome = {}
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, ["new", DEADLY], [], "g0")
+            await trio.sleep(0.5)
+            for name in fleet.nodes:
+                nursery.start_soon(fleet.ask, [DEADLY], [], name)
+                nursery.start_soon(fleet.ask, ["new"], [], name)
+            await trio.sleep(5.0)
+            for name in fleet.nodes:
+                nursery.start_soon(fleet.ask, ["new"], answers, name)
+        outcome["answers"] = answers
+
+    run_fleet(main, gateways=4, engines=2)
+    assert [answer.status for answer in outcome["answers"]] == [200] * 4
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from enum import Enum
 from math import inf
+from zlib import crc32
 
 from gooseberryyoke.crash.suspicion import Suspicion
 from gooseberryyoke.record import Record
@@ -16,6 +17,12 @@
 
 TRIAL_S = 3.0
 """A request on trial that has not ended by then counts no more."""
+_SPREAD_S = 0.5
+"""Over which gateways begin their trials, each after a time of its own: all learn of an
+end at the same moment, and news of a trial takes some milliseconds."""
+_SOLE_FIRST_S = 0.7
+"""By which requests with several suspected parts wait longer: an answer to one with a
+sound part alone holds by then, so that it is not blamed for an end of the other."""
 _SAME_PROOF_S = 0.05
 """Ages grow by what a datagram takes; without a margin a proof would seem later with
 each gateway that tells of it, and two would correct each other for ever."""
@@ -153,17 +160,30 @@
         """
         if not self._suspicions:
             return _FREE
+        held = self._held(parts, now)
+        after_s = _SOLE_FIRST_S if len(held) > 1 else 0.0
         found = _FREE
-        for part in parts:
-            suspicion = self._suspicions.get(part)
-            if suspicion is None:
-                continue
-            suspicion.seen_s = now
-            clearance = _clearance(part, suspicion, now)
+        for part, suspicion in held:
+            delay_s = after_s + self._offset_s(part)
+            clearance = _clearance(part, suspicion, now, delay_s)
             if _ORDER.index(clearance.kind) > _ORDER.index(found.kind):
                 found = clearance
         return found
 
+    def _held(self, parts, now):
+        """Give the parts that ends count against."""
+        held = []
+        for part in parts:
+            suspicion = self._suspicions.get(part)
+            if suspicion is not None:
+                suspicion.seen_s = now
+                if suspicion.count(now):
+                    held.append((part, suspicion))
+        return held
+
+    def _offset_s(self, part):
+        return crc32(f"{self._gateway}/{part}".encode()) / 2**32 * _SPREAD_S
+
     def begin_trial(self, parts, now):
         """
         Note that a request is sent on trial.
@@ -337,11 +357,9 @@
 )
 
 
-def _clearance(part, suspicion, now):
+def _clearance(part, suspicion, now, delay_s):
     count = suspicion.count(now)
-    if not count:
-        return _FREE
-    from_s = suspicion.may_try_from_s(now)
+    from_s = suspicion.may_try_from_s(now) + delay_s
     under_way_s = suspicion.trial_until_s(now)
     if under_way_s is None and now >= from_s:
         return Clearance(ClearanceKind.TRIAL, now, part)
