--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(BIN)/python -m tools.bench.concurrency
 	$(BIN)/python -m tools.bench.queueing
 	$(BIN)/python -m tools.bench.durable
+	$(BIN)/python -m tools.bench.quarantine
 
 bench-capacity: $(VENV)/installed
 	$(BIN)/python -m tools.bench.capacity_state
@@ -51,6 +52,7 @@
 soak: $(VENV)/installed
 	$(BIN)/python -m tools.soak --seeds 50
 	$(BIN)/python -m tools.soak --evacuations --seeds 20 --seconds 25
+	$(BIN)/python -m tools.soak --crashes --seeds 20 --seconds 15
 
 clean:
 	rm -rf $(VENV) out
--- /dev/null
+++ b/tools/bench/quarantine.py
@@ -0,0 +1,187 @@
+"""Costs of the quarantine of prompts: processor time, bytes, datagrams and memory."""
+
+import tracemalloc
+from time import process_time
+
+import click
+import orjson
+import trio
+import trio.testing
+
+from gooseberryyoke.crash import Suspects, shared_parts
+from gooseberryyoke_daemon.control import EntryPresence
+from gooseberryyoke_daemon.gateway.crash_news import CrashNews
+
+__all__ = ["change_bytes", "decision_us", "main", "memory_kb", "news_rate"]
+
+_PART_COUNTS = (3, 64)
+"""Shared parts of a prompt."""
+_SUSPICIONS = (0, 10, 256)
+_REPEATED = (1, 10, 256)
+"""Suspicions that are repeated."""
+_GATEWAYS = (4, 47, 350)
+_DECISIONS = 20_000
+_ROUNDS = 5
+_CHANGED_PARTS = 3
+"""That an end is held against where one request ran, with the deadly part."""
+_ENDS = 2
+_NEWS_S = 60.0
+_PROOFS = 4096
+_MOST_SUSPICIONS = 256
+_MOST_ENDS = 8
+_HEAD_BYTES = 28
+"""Of IP and UDP, for each datagram."""
+_MICROSECOND = 1e-6
+
+
+def _part(number):
+    return f"{number:016x}"
+
+
+def _end(suspects, count, ends=_ENDS):
+    for number in range(count):
+        for life in range(ends):
+            parts = [_part(number)]
+            suspects.end(f"engine-z-a-{life}/{1_764_800_000_000 + life}", parts, life)
+
+
+def decision_us(part_count, suspicion_count, decisions=_DECISIONS):
+    """
+    Measure reading a request's parts and deciding on them.
+
+    Parameters
+    ----------
+    part_count : int
+        Shared parts of each prompt, half of them suspected if there are as many.
+    suspicion_count : int
+    decisions : int
+
+    Returns
+    -------
+    float
+        Microseconds of processor time for each request.
+    """
+    suspects = Suspects("g")
+    _end(suspects, suspicion_count)
+    held = min(part_count // 2, suspicion_count)
+    numbers = [*range(held), *range(1_000_000, 1_000_000 + part_count - held), -1]
+    header = ",".join(f"{_part(number % 2**63)}:400" for number in numbers)
+    begun_s = process_time()
+    for _ in range(decisions):
+        suspects.clearance(shared_parts(header), 10.0)
+    return (process_time() - begun_s) / decisions / _MICROSECOND
+
+
+def news_rate(gateway_count, suspicion_count):
+    """
+    Count what a gateway repeats to others while nothing changes.
+
+    Parameters
+    ----------
+    gateway_count, suspicion_count : int
+
+    Returns
+    -------
+    datagrams, byte_count : float
+        A second, sent; heads of IP and UDP included.
+    """
+    sent_bytes = _sent_bytes(gateway_count, suspicion_count, [], _NEWS_S)
+    return len(sent_bytes) / _NEWS_S, sum(sent_bytes) / _NEWS_S
+
+
+def change_bytes(gateway_count, part_count=_CHANGED_PARTS):
+    """
+    Count what a gateway tells all others at once of one end.
+
+    Parameters
+    ----------
+    gateway_count, part_count : int
+
+    Returns
+    -------
+    int
+    """
+    parts = [_part(number) for number in range(part_count)]
+    return sum(_sent_bytes(gateway_count, part_count, parts, 0.0))
+
+
+def _sent_bytes(gateway_count, suspicion_count, told, for_s):
+    """Let a gateway tell some parts, and repeat all for a time; give datagrams."""
+    sent_bytes = []
+    others = [
+        EntryPresence(f"gateway-{number}", f"10.0.0.{number}:80", "", "z-a", True)
+        for number in range(1, gateway_count)
+    ]
+
+    async def send(receivers, records):
+        data = b'[5,"gateway-0",%s]' % orjson.dumps(records)
+        sent_bytes.extend([len(data) + _HEAD_BYTES] * len(receivers))
+
+    async def body():
+        suspects = Suspects("gateway-0")
+        _end(suspects, suspicion_count)
+        news = CrashNews(suspects, "gateway-0", lambda: None)
+        news.tell(told)
+        with trio.move_on_after(for_s + 0.5):
+            await news.run(send, lambda: others)
+
+    trio.run(body, clock=trio.testing.MockClock(autojump_threshold=0))
+    return sent_bytes
+
+
+def memory_kb(proofs=_PROOFS, suspicions=_MOST_SUSPICIONS):
+    """
+    Measure what proofs and suspicions hold, the latter with as many ends as are kept.
+
+    Parameters
+    ----------
+    proofs, suspicions : int
+
+    Returns
+    -------
+    proofs_kb, suspicions_kb : float
+    """
+    tracemalloc.start()
+    try:
+        suspects = Suspects("g")
+        empty = tracemalloc.get_traced_memory()[0]
+        for number in range(proofs):
+            suspects.prove([_part(1_000_000 + number)], float(number))
+        proven = tracemalloc.get_traced_memory()[0]
+        _end(suspects, suspicions, _MOST_ENDS)
+        held = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    return (proven - empty) / 1000, (held - proven) / 1000
+
+
+@click.command(help=__doc__)
+@click.option("--rounds", default=_ROUNDS, show_default=True)
+def main(rounds):
+    """Print a table for each kind of cost."""
+    click.echo("| parts | suspicions | us a request, middle (least to most) |")
+    click.echo("|---|---|---|")
+    for parts in _PART_COUNTS:
+        for held in _SUSPICIONS:
+            found = sorted(decision_us(parts, held) for _ in range(rounds))
+            span = f"{found[0]:.2f} to {found[-1]:.2f}"
+            click.echo(f"| {parts} | {held} | {found[rounds // 2]:.2f} ({span}) |")
+    click.echo("\n| gateways | suspicions | datagrams a second | bytes a second |")
+    click.echo("|---|---|---|---|")
+    for gateways in _GATEWAYS:
+        for held in _REPEATED:
+            datagrams, byte_count = news_rate(gateways, held)
+            click.echo(f"| {gateways} | {held} | {datagrams:.1f} | {byte_count:.0f} |")
+    click.echo("\n| gateways | bytes told at once of one end |")
+    click.echo("|---|---|")
+    for gateways in _GATEWAYS:
+        click.echo(f"| {gateways} | {change_bytes(gateways)} |")
+    proofs_kb, suspicions_kb = memory_kb()
+    click.echo(f"\n{_PROOFS} proofs: {proofs_kb:.0f} kB")
+    click.echo(
+        f"{_MOST_SUSPICIONS} suspicions of {_MOST_ENDS} ends: {suspicions_kb:.0f} kB"
+    )
+
+
+if __name__ == "__main__":
+    main()
