Count each end under requests on trial

What callers see: where two gateways tried a part at once each time, as happens when news is lost or a gateway has just started, its requests ended two servers at each pause and went on to do so each ten minutes, for as long as they came.

Cause: ends within half a second count as one, for racks that go at once. Two trials counted as one as well, and as eight ends are kept of a part, four pairs never came to the five ends that close it.

Evidence: test_gateways_that_try_at_once_close_a_part_no_later was at 21 ends and not closed.

Change: an end ten seconds or more after the one before it, and those within half a second of it, count one each: nothing but trials was sent since.

--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
@@ -7,6 +7,9 @@
 _SAME_CAUSE_S = 0.5
 """Servers that end within so long of each other may have ended for one reason, as those
 of a rack do."""
+_FREE_BEFORE_S = 10.0
+"""An end so long after the one before is that of a request on trial: none was sent
+freely since, and two gateways that tried at once have ended a server each."""
 _PROVEN_FOR_S = 60.0
 _ENDS_OF_PROVEN = 2
 """Ends that a part proven lately may have run into by chance: popular parts run at each
@@ -104,11 +107,13 @@
         -------
         int
         """
-        counted, last_s = 0, -inf
+        counted, first_s, before_s, was_tried = 0, -inf, inf, False
         for at_s in sorted(self.ends_s.values()):
-            if at_s - last_s >= _SAME_CAUSE_S:
-                counted += 1
-                last_s = at_s
+            is_apart = at_s - first_s >= _SAME_CAUSE_S
+            if is_apart:
+                first_s, was_tried = at_s, at_s - before_s >= _FREE_BEFORE_S
+            counted += is_apart or was_tried
+            before_s = at_s
         if now - self.proof_s >= _PROVEN_FOR_S:
             return counted
         if len(self.ends_s) > _ENDS_OF_CHANCE:
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspicion.py
@@ -62,6 +62,15 @@
     assert ended(*ends_s, proof_s=100.0).count(102.0) == count
 
 
+def test_gateways_that_try_at_once_close_a_part_no_later():
+    """Two trials counted as one end, and eight ends as four: it was never closed."""
+    suspicion, at_s, ends = ended(100.0), 100.0, 1
+    while ends <= 20 and (at_s := suspicion.may_try_from_s(at_s)) < inf:
+        for late_s in (0.0, 0.1):
+            ends += suspicion.add_end(f"{at_s + late_s}", at_s + late_s)
+    assert ends <= 5 + 3
+
+
 @pytest.mark.parametrize(
     ("ends", "pause_s"), [(1, 1.0), (2, 30.0), (3, 120.0), (4, 600.0), (5, inf)]
 )
