Failing test: a gateway that restarts sends a closed part on (BUDGET)

A gateway that starts knows of no closed part until another one repeats it, up to a second later with nine gateways and N / 8 seconds with N. A request in that time ends a server; four restarts sent four requests on, and three are allowed in all.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -168,6 +168,21 @@
     assert is_not_run(run(main, gateways=3))
 
 
+def test_gateways_that_restart_send_a_closed_part_on_three_times_at_most():
+    """Each start costs a server until the others' next repeat, up to a second later."""
+
+    async def main(fleet):
+        hold(fleet, CLOSED, DEADLY)
+        for _ in range(4):
+            fleet.kill_gateway("g1")
+            await trio.sleep(2.0)
+            await fleet.start_gateway("g1")
+            await fleet.ask_one([DEADLY], "g1")
+        return len(fleet.deadly_arrivals)
+
+    assert run(main, gateways=2, engines=6) <= 3
+
+
 def test_all_gateways_learn_though_a_third_of_the_datagrams_is_lost(monkeypatch):
     rng, deliver = Random(1), MemoryEndpoint.deliver
 
