--- a/tools/soak/crash_soak.py
+++ b/tools/soak/crash_soak.py
@@ -82,6 +82,8 @@
         Of the bursts, faults and requests.
     seconds : float
         For which faults come.
+    known_requests : int
+        Sound requests before these, by which gateways know sound parts as such.
 
     Attributes
     ----------
@@ -90,7 +92,7 @@
     result : SoakResult
     """
 
-    def __init__(self, folder, seed, seconds):
+    def __init__(self, folder, seed, seconds, known_requests=0):
         self.deadly_ends = []
         self._folder = folder
         self._seed = seed
@@ -101,6 +103,7 @@
         self._started_s = 0.0
         self._asked = 0
         self._untrue = []
+        self._known_requests = known_requests
         self.result = SoakResult()
 
     async def run(self):
@@ -118,6 +121,7 @@
         async with trio.open_nursery() as nursery:
             try:
                 await nursery.start(self._deployment.run)
+                await self._send_sound(self._known_requests, [])
                 self._started_s = trio.current_time()
                 await self._storm()
                 await self._calm()
