--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_trials.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_trials.py
@@ -6,8 +6,8 @@
 
 EVENTS = ("content-type", "text/event-stream")
 PROMPT = ((NAMES.prompt_parts, "part:40,own:100"),)
-TRIAL_FROM_S = 1.0
-"""After the first end under a part, when one request may show whether it is sound."""
+TRIAL_FROM_S = 1.6
+"""After an end under a part, when each gateway's own time for a trial has come."""
 
 
 async def long_stream(request):
