--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -1,7 +1,7 @@
 import pytest
 import trio
 
-from gooseberryyoke_daemon.testing.crash_fleet import DEADLY, run_fleet
+from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL, run_fleet
 
 RATE = 20.0
 KNOWN_S, LOAD_S = 4.0, 30.0
@@ -16,29 +16,29 @@
     return [rng.choice(FIRST_PARTS), rng.choice(SECOND_PARTS)]
 
 
-def deadly_in(share):
-    """Make prompts of which a share has the deadly part, between sound ones."""
+def harmful_in(share):
+    """Make prompts of which a share has the harmful part, between sound ones."""
 
     def parts(rng):
         first, second = sound(rng)
-        return [first, DEADLY, second] if rng.random() < share else [first, second]
+        return [first, HARMFUL, second] if rng.random() < share else [first, second]
 
     return parts
 
 
 def begun_at_first(answers):
     """Give the share of sound requests that began at their first attempt."""
-    sound_ones = [answer for answer in answers if DEADLY not in answer.parts]
+    sound_ones = [answer for answer in answers if HARMFUL not in answer.parts]
     begun = [a for a in sound_ones if a.status == 200 and a.attempts == 1]
     return len(begun) / len(sound_ones)
 
 
 def sent_on(fleet):
-    """Count the deadly requests that reached engines after all had to know."""
+    """Count the harmful requests that reached engines after all had to know."""
     if len(fleet.crashes) < 5:
         return 0
     from_s = sorted(fleet.crashes)[4] + LEARNED_S
-    return sum(at >= from_s for at in fleet.deadly_arrivals)
+    return sum(at >= from_s for at in fleet.harmful_arrivals)
 
 
 @pytest.mark.parametrize("share", [0.05, 0.2])
@@ -49,7 +49,7 @@
 
     async def main(fleet):
         await fleet.ask_often(RATE, KNOWN_S, sound)
-        answers = await fleet.ask_often(RATE, LOAD_S, deadly_in(share))
+        answers = await fleet.ask_often(RATE, LOAD_S, harmful_in(share))
         outcome["sent_on"] = sent_on(fleet)
         outcome["served"] = begun_at_first(a for a in answers if a.sent_s > 20.0)
 
@@ -63,11 +63,11 @@
     outcome = {}
 
     async def main(fleet):
-        fleet.deadly_after = 99
-        await fleet.ask_often(RATE, 3.0, deadly_in(0.2))
-        fleet.deadly_arrivals.clear()
-        fleet.deadly_after = 0
-        await fleet.ask_often(1.5 * RATE, 12.0, deadly_in(0.2))
+        fleet.harmful_after = 99
+        await fleet.ask_often(RATE, 3.0, harmful_in(0.2))
+        fleet.harmful_arrivals.clear()
+        fleet.harmful_after = 0
+        await fleet.ask_often(1.5 * RATE, 12.0, harmful_in(0.2))
         outcome["sent_on"] = sent_on(fleet)
 
     run_fleet(main, gateways=2, engines=5)
@@ -101,10 +101,10 @@
     async def main(fleet):
         await fleet.ask_often(RATE, KNOWN_S, sound)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.ask, [DEADLY], [], "g0")
+            nursery.start_soon(fleet.ask, [HARMFUL], [], "g0")
             await trio.sleep(0.5)
             for name in fleet.nodes:
-                nursery.start_soon(fleet.ask, [DEADLY], [], name)
+                nursery.start_soon(fleet.ask, [HARMFUL], [], name)
         outcome["crashes"] = len(fleet.crashes)
 
     run_fleet(main, gateways, engines=6)
@@ -112,18 +112,18 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_a_new_part_that_came_with_the_deadly_one_is_not_closed(seed):
-    """A sound part is quarantined if its trial is that of the deadly one, too."""
+def test_a_new_part_that_came_with_the_harmful_one_is_not_closed(seed):
+    """A sound part is quarantined if its trial is that of the harmful one, too."""
     outcome = {}
 
     async def main(fleet):
         await fleet.ask_often(RATE, KNOWN_S, sound)
         answers = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.ask, ["new", DEADLY], [], "g0")
+            nursery.start_soon(fleet.ask, ["new", HARMFUL], [], "g0")
             await trio.sleep(0.5)
             for name in fleet.nodes:
-                nursery.start_soon(fleet.ask, ["new", DEADLY], [], name)
+                nursery.start_soon(fleet.ask, ["new", HARMFUL], [], name)
                 nursery.start_soon(fleet.ask, ["new"], answers, name)
             await trio.sleep(4.0)
             nursery.start_soon(fleet.ask, ["new"], answers)
@@ -133,7 +133,7 @@
     assert [answer.status for answer in outcome["answers"]] == [200] * 5
 
 
-def test_a_new_part_is_not_closed_for_a_deadly_trial_at_the_same_engine():
+def test_a_new_part_is_not_closed_for_a_harmful_trial_at_the_same_engine():
     """A sound part is quarantined if its trial runs where another one ends."""
     outcome = {}
 
@@ -141,10 +141,10 @@
         await fleet.ask_often(RATE, KNOWN_S, sound)
         answers = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.ask, ["new", DEADLY], [], "g0")
+            nursery.start_soon(fleet.ask, ["new", HARMFUL], [], "g0")
             await trio.sleep(0.5)
             for name in fleet.nodes:
-                nursery.start_soon(fleet.ask, [DEADLY], [], name)
+                nursery.start_soon(fleet.ask, [HARMFUL], [], name)
                 nursery.start_soon(fleet.ask, ["new"], [], name)
             await trio.sleep(5.0)
             for name in fleet.nodes:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from gooseberryyoke_daemon.testing.crash_fleet import DEADLY, run_fleet
+from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL, run_fleet
 from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
 
@@ -92,11 +92,11 @@
     async def main(fleet):
         answers = []
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(fleet.ask, [DEADLY], answers)
-            while len(fleet.deadly_arrivals) < 2:
+            nursery.start_soon(fleet.ask, [HARMFUL], answers)
+            while len(fleet.harmful_arrivals) < 2:
                 # Its trial has just begun once it arrives a second time.
                 await trio.sleep(0.005)
-            nursery.start_soon(fleet.ask, [DEADLY, PART], answers)
+            nursery.start_soon(fleet.ask, [HARMFUL, PART], answers)
         return sorted(answers, key=lambda a: a.sent_s), len(fleet.crashes)
 
     (tried, waited), crashes = run(main)
@@ -116,10 +116,10 @@
             for _ in range(12):
                 nursery.start_soon(fleet.ask, ["b"], others)
             await trio.sleep(BEGUN_S)
-            nursery.start_soon(fleet.ask, [DEADLY], answers)
+            nursery.start_soon(fleet.ask, [HARMFUL], answers)
             await trio.sleep(BEGUN_S)
-            hold(fleet, 2, DEADLY)
-        return answers[0], fleet.deadly_arrivals
+            hold(fleet, 2, HARMFUL)
+        return answers[0], fleet.harmful_arrivals
 
     answer, arrivals = run(main, engines=1)
     assert is_not_run(answer)
@@ -130,9 +130,9 @@
     """Streams that end their server after their first events went to the next one."""
 
     async def main(fleet):
-        fleet.deadly_after = 3
-        first = await fleet.ask_one([DEADLY])
-        return first, await fleet.ask_one([DEADLY]), len(fleet.deadly_arrivals)
+        fleet.harmful_after = 3
+        first = await fleet.ask_one([HARMFUL])
+        return first, await fleet.ask_one([HARMFUL]), len(fleet.harmful_arrivals)
 
     first, second, arrivals = run(main)
     assert (first.status, arrivals) == (None, 2)
@@ -163,11 +163,11 @@
 
     async def main(fleet):
         fleet.kill_gateway("g1")
-        hold(fleet, CLOSED, DEADLY)
+        hold(fleet, CLOSED, HARMFUL)
         await trio.sleep(2.0)
         await fleet.start_gateway("g1")
         await trio.sleep(TRIAL_FROM_S)
-        return await fleet.ask_one([DEADLY], "g1")
+        return await fleet.ask_one([HARMFUL], "g1")
 
     assert is_not_run(run(main, gateways=3))
 
@@ -176,13 +176,13 @@
     """Each start costs a server until the others' next repeat, up to a second later."""
 
     async def main(fleet):
-        hold(fleet, CLOSED, DEADLY)
+        hold(fleet, CLOSED, HARMFUL)
         for _ in range(4):
             fleet.kill_gateway("g1")
             await trio.sleep(2.0)
             await fleet.start_gateway("g1")
-            await fleet.ask_one([DEADLY], "g1")
-        return len(fleet.deadly_arrivals)
+            await fleet.ask_one([HARMFUL], "g1")
+        return len(fleet.harmful_arrivals)
 
     assert run(main, gateways=2, engines=6) <= 3
 
@@ -197,9 +197,9 @@
     monkeypatch.setattr(MemoryEndpoint, "deliver", lose_some)
 
     async def main(fleet):
-        hold(fleet, CLOSED, DEADLY)
+        hold(fleet, CLOSED, HARMFUL)
         await trio.sleep(3.0)
-        return [await fleet.ask_one([DEADLY], f"g{n}") for n in range(6)]
+        return [await fleet.ask_one([HARMFUL], f"g{n}") for n in range(6)]
 
     assert all(map(is_not_run, run(main, gateways=6)))
 
@@ -230,8 +230,8 @@
 
     async def main(fleet):
         now = trio.current_time()
-        fleet.nodes["g0"].quarantine.suspects.prove([DEADLY], now)
-        return await fleet.ask_one([DEADLY])
+        fleet.nodes["g0"].quarantine.suspects.prove([HARMFUL], now)
+        return await fleet.ask_one([HARMFUL])
 
     answer = run(main)
     assert (answer.attempts, answer.took_s < 0.5) == (2, True)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -25,9 +25,9 @@
 )
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["Answer", "CrashFleet", "DEADLY", "run_fleet"]
+__all__ = ["Answer", "CrashFleet", "HARMFUL", "run_fleet"]
 
-DEADLY = "dead"
+HARMFUL = "dead"
 """The part of a prompt on which engines crash."""
 _READ_S = 0.1
 _EVENTS = 10
@@ -111,7 +111,7 @@
     async def _events(self, parts, after):
         await trio.sleep(_READ_S)
         for number in range(after + 1, _EVENTS + 1):
-            if DEADLY in parts and number > after + self._fleet.deadly_after:
+            if HARMFUL in parts and number > after + self._fleet.harmful_after:
                 self._fleet.crash(self)
                 await trio.sleep_forever()
             yield b"id: %d\ndata: x\n\n" % number
@@ -133,18 +133,18 @@
     network : MemoryNetwork
     crashes : list of float
         When engines crashed, on trio's clock.
-    deadly_arrivals : list of float
-        When requests with the deadly part reached engines.
-    deadly_after : int
-        Events that an engine gives before the deadly part crashes it.
+    harmful_arrivals : list of float
+        When requests with the harmful part reached engines.
+    harmful_after : int
+        Events that an engine gives before the harmful part crashes it.
     """
 
     def __init__(self, nursery, gateways, engines, seed):
         self.network = MemoryNetwork(latency_s=_LATENCY_S)
         self.rng = Random(seed)
         self.crashes = []
-        self.deadly_arrivals = []
-        self.deadly_after = 0
+        self.harmful_arrivals = []
+        self.harmful_after = 0
         self.nodes = {}
         self._servers = {}
         self._engines = {}
@@ -277,8 +277,8 @@
         parts : tuple of str
         """
         self._arrivals[number] = self._arrivals.get(number, 0) + 1
-        if DEADLY in parts:
-            self.deadly_arrivals.append(trio.current_time())
+        if HARMFUL in parts:
+            self.harmful_arrivals.append(trio.current_time())
 
     async def ask(self, parts, answers, gateway=None, path="/draw/x"):
         """
--- a/tools/bench/quarantine.py
+++ b/tools/bench/quarantine.py
@@ -23,7 +23,7 @@
 _DECISIONS = 20_000
 _ROUNDS = 5
 _CHANGED_PARTS = 3
-"""That an end is held against where one request ran, with the deadly part."""
+"""That an end is held against where one request ran, with the harmful part."""
 _ENDS = 2
 _NEWS_S = 60.0
 _PROOFS = 4096
--- a/tools/soak/crash_soak.py
+++ b/tools/soak/crash_soak.py
@@ -9,8 +9,8 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.wire import WireError
 from gooseberryyoke_platform.names import HEADERS
+from tools.soak.crashing_engine import HARMFUL, CrashingEngine, stream_body
 from tools.soak.faults import Kill, Pause
-from tools.soak.mortal_engine import DEADLY, MortalEngine, stream_body
 from tools.soak.process_faults import ProcessFaults
 from tools.soak.routed_deployment import RoutedDeployment
 from tools.soak.soak import SoakResult
@@ -87,13 +87,13 @@
 
     Attributes
     ----------
-    deadly_ends : list of float
+    harmful_ends : list of float
         When engines ended for the part, once the run is over.
     result : SoakResult
     """
 
     def __init__(self, folder, seed, seconds, known_requests=0):
-        self.deadly_ends = []
+        self.harmful_ends = []
         self._folder = folder
         self._seed = seed
         self._seconds = seconds
@@ -114,7 +114,7 @@
         -------
         SoakResult
         """
-        self._deployment = RoutedDeployment(self._folder, self._seed, MortalEngine)
+        self._deployment = RoutedDeployment(self._folder, self._seed, CrashingEngine)
         self._process_faults = ProcessFaults(
             self._deployment, self._note, _GATEWAY_REST_S
         )
@@ -182,12 +182,12 @@
                 self._note(f"{count} requests with the part")
                 for _ in range(count):
                     after_s = self._rng.uniform(0, _BURST_S)
-                    nursery.start_soon(self._send_deadly, after_s)
+                    nursery.start_soon(self._send_harmful, after_s)
                 await trio.sleep(self._rng.uniform(*_BETWEEN_BURSTS_S))
 
-    async def _send_deadly(self, after_s):
+    async def _send_harmful(self, after_s):
         await trio.sleep(after_s)
-        await self._ask([*self._rng.sample(_SHARED_PARTS, 2), DEADLY])
+        await self._ask([*self._rng.sample(_SHARED_PARTS, 2), HARMFUL])
 
     async def _send_sound(self, count, answered):
         async def ask():
@@ -238,9 +238,9 @@
 
     def _check(self):
         engines = self._deployment.engines
-        ends = [at_s for engine in engines for at_s in engine.deadly_ends]
-        self.deadly_ends = ends
-        arrivals = [at_s for engine in engines for at_s in engine.deadly_arrivals]
+        ends = [at_s for engine in engines for at_s in engine.harmful_ends]
+        self.harmful_ends = ends
+        arrivals = [at_s for engine in engines for at_s in engine.harmful_arrivals]
         late = late_arrivals(ends, arrivals)
         self._note(
             f"{len(arrivals)} requests with the part arrived, {len(ends)} engines "
--- a/tools/soak/mortal_engine.py
+++ b/tools/soak/crashing_engine.py
@@ -9,9 +9,9 @@
 from gooseberryyoke_platform.names import HEADERS
 from tools.soak.routed_deployment import Engine
 
-__all__ = ["DEADLY", "MortalEngine", "stream_body"]
+__all__ = ["HARMFUL", "CrashingEngine", "stream_body"]
 
-DEADLY = "dead"
+HARMFUL = "dead"
 """The part of a prompt on which engines end."""
 _READ_S = (0.05, 0.3)
 """From the arrival of a request until its engine begins to write."""
@@ -47,7 +47,7 @@
     return b"id: %d\ndata: %s\n\n" % (number, path.encode())
 
 
-class MortalEngine(Engine):
+class CrashingEngine(Engine):
     """
     Listens in lives of its own, each of which ends like a process.
 
@@ -58,16 +58,16 @@
 
     Attributes
     ----------
-    deadly_arrivals, deadly_ends : list of float
-        When requests with `DEADLY` arrived, and when lives ended for them.
+    harmful_arrivals, harmful_ends : list of float
+        When requests with `HARMFUL` arrived, and when lives ended for them.
     is_calm : bool
         Whether answers have chunks and are whole.
     """
 
     def __init__(self, id, zone, address, rng):
         super().__init__(id, zone, address, rng)
-        self.deadly_arrivals = []
-        self.deadly_ends = []
+        self.harmful_arrivals = []
+        self.harmful_ends = []
         self.is_calm = False
         self._life = trio.CancelScope()
 
@@ -90,9 +90,9 @@
     async def serve(self, request):
         """Note a request; end on it, or answer it."""
         parts = shared_parts(request.header(HEADERS.prompt_parts))
-        if DEADLY in parts:
-            self.deadly_arrivals.append(trio.current_time())
-            await self._end_deadly()
+        if HARMFUL in parts:
+            self.harmful_arrivals.append(trio.current_time())
+            await self._end_harmful()
         if request.path.startswith("/read/"):
             return await super().serve(request)
         after = int(request.header("last-event-id", 0))
@@ -106,10 +106,10 @@
         headers = [("content-type", "text/event-stream")]
         return Response(_OK, headers, events, until_close=is_unframed)
 
-    async def _end_deadly(self):
+    async def _end_harmful(self):
         await trio.sleep(self._rng.uniform(*_READ_S))
         if not self._life.cancel_called:
-            self.deadly_ends.append(trio.current_time())
+            self.harmful_ends.append(trio.current_time())
             self.end()
         await trio.sleep_forever()
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -135,11 +135,11 @@
     assert late_arrivals(ends[:4], [0.5, 20.0]) == []
 
 
-def test_a_short_run_of_deadly_prompts_with_a_fixed_seed(tmp_path):
+def test_a_short_run_of_harmful_prompts_with_a_fixed_seed(tmp_path):
     # Real engines end on one part of a prompt and answer in every way there is, while
     # gateways are killed and paused: the part reaches no more of them, sound requests
     # are answered, and no stream ends as complete that isn't.
     soak = CrashSoak(tmp_path / "run", seed=6, seconds=5.0, known_requests=30)
     result = trio.run(soak.run)
-    assert soak.deadly_ends
+    assert soak.harmful_ends
     assert [str(point) for point in result.points if point.faults] == []
