--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -1,4 +1,4 @@
-"""Gateways before engines that crash on one part of a prompt."""
+"""Gateways before engines that crash on one part of a prompt, or on one request."""
 
 from random import Random
 
@@ -25,10 +25,13 @@
 )
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["Answer", "CrashFleet", "HARMFUL", "run_fleet"]
+__all__ = ["Answer", "CrashFleet", "HARMFUL", "HARMFUL_BODY", "run_fleet"]
 
 HARMFUL = "dead"
 """The part of a prompt on which engines crash."""
+HARMFUL_BODY = b"crash"
+"""The body of a request on which engines crash, whatever its prompt holds."""
+_BODY = b"body"
 _READ_S = 0.1
 _EVENTS = 10
 _EVENT_S = 0.03
@@ -99,24 +102,35 @@
             await server.run(listeners, task_status=task_status)
 
     async def answer(self, request):
-        parts = shared_parts(request.header(NAMES.prompt_parts))
-        self._fleet.note_arrival(request.header(NAMES.attempt_id), parts)
+        is_harmful = _is_harmful(request)
+        number = request.header(NAMES.attempt_id)
+        self._fleet.note_arrival(number, is_harmful, self)
         headers = [(NAMES.signature, "sig"), ("content-type", "text/event-stream")]
         if not request.target.startswith("/draw/"):
             await trio.sleep(_READ_S)
+            if is_harmful:
+                await self._crash()
             return Response(200, headers[:1], b"plain")
         after = int(request.header("last-event-id", 0))
-        return Response(200, headers, self._events(parts, after))
+        return Response(200, headers, self._events(is_harmful, after))
 
-    async def _events(self, parts, after):
+    async def _events(self, is_harmful, after):
         await trio.sleep(_READ_S)
-        for number in range(after + 1, _EVENTS + 1):
-            if HARMFUL in parts and number > after + self._fleet.harmful_after:
-                self._fleet.crash(self)
-                await trio.sleep_forever()
+        for number in range(after + 1, self._fleet.events + 1):
+            if is_harmful and number > after + self._fleet.harmful_after:
+                await self._crash()
             yield b"id: %d\ndata: x\n\n" % number
             await trio.sleep(_EVENT_S)
 
+    async def _crash(self):
+        self._fleet.crash(self)
+        await trio.sleep_forever()
+
+
+def _is_harmful(request):
+    parts = shared_parts(request.header(NAMES.prompt_parts))
+    return HARMFUL in parts or request.body == HARMFUL_BODY
+
 
 class CrashFleet:
     """
@@ -134,9 +148,13 @@
     crashes : list of float
         When engines crashed, on trio's clock.
     harmful_arrivals : list of float
-        When requests with the harmful part reached engines.
+        When harmful requests reached engines.
+    harmful_ends : list of float
+        When engines crashed while a harmful request was at them.
     harmful_after : int
-        Events that an engine gives before the harmful part crashes it.
+        Events that an engine gives before a harmful request crashes it.
+    events : int
+        Of each stream.
     """
 
     def __init__(self, nursery, gateways, engines, seed):
@@ -144,11 +162,14 @@
         self.rng = Random(seed)
         self.crashes = []
         self.harmful_arrivals = []
+        self.harmful_ends = []
         self.harmful_after = 0
+        self.events = _EVENTS
         self.nodes = {}
         self._servers = {}
         self._engines = {}
         self._arrivals = {}
+        self._with_harmful = set()
         self._nursery = nursery
         self._scopes = {}
         self._count = engines
@@ -244,6 +265,8 @@
             return
         engine.scope.cancel()
         self.crashes.append(trio.current_time())
+        if engine.id in self._with_harmful:
+            self.harmful_ends.append(trio.current_time())
         self._nursery.start_soon(self._bring_back, engine)
 
     async def _bring_back(self, engine):
@@ -267,46 +290,66 @@
         """Crash an engine for a reason that lies in no request."""
         self.crash(self.rng.choice(self.running()))
 
-    def note_arrival(self, number, parts):
+    def note_arrival(self, number, is_harmful, engine):
         """
         Count a request that has reached an engine.
 
         Parameters
         ----------
         number : str
-        parts : tuple of str
+        is_harmful : bool
+        engine : _Engine
         """
         self._arrivals[number] = self._arrivals.get(number, 0) + 1
-        if HARMFUL in parts:
+        if is_harmful:
+            self._with_harmful.add(engine.id)
             self.harmful_arrivals.append(trio.current_time())
 
-    async def ask(self, parts, answers, gateway=None, path="/draw/x"):
+    async def ask(
+        self,
+        parts,
+        answers,
+        gateway=None,
+        path="/draw/x",
+        own=None,
+        body=_BODY,
+        last_event_id=None,
+    ):
         """
         Send a request and note what becomes of it.
 
         Parameters
         ----------
-        parts : sequence of str
-            Of its prompt; one of its own is added.
+        parts : sequence of str or None
+            Of its prompt; one of its own is added. None for a request that names none.
         answers : list of Answer
             Appended to.
         gateway : str, optional
             By default any.
         path : str
             Answers are plain but for those of ``/draw/``.
+        own : str, optional
+            The last part of its prompt; by default one that no other request has.
+        body : bytes
+        last_event_id : str, optional
+            Where the caller has a stream go on.
         """
         self._asked += 1
         number = f"r{self._asked}"
         entry = self._there[gateway or self.rng.choice(sorted(self._scopes))]
-        prompt = ",".join(f"{part}:40" for part in [*parts, f"own{number}"])
         headers = [
             ("host", "h.example"),
             (NAMES.attempt_id, number),
             (NAMES.deadline_ms, str(_DEADLINE_MS)),
-            (NAMES.prompt_parts, prompt),
             ("authorization", f"Bearer {KEY}"),
         ]
-        request = Request("POST", path, headers, b"body")
+        if parts is not None:
+            all_parts = [*parts, own or f"own{number}"]
+            prompt = ",".join(f"{part}:40" for part in all_parts)
+            headers.append((NAMES.prompt_parts, prompt))
+        if last_event_id is not None:
+            headers.append(("last-event-id", last_event_id))
+        request = Request("POST", path, headers, body)
         caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
         sent_s = trio.current_time()
         status = verdict = retry_after = None
@@ -320,27 +363,54 @@
             # Broken off: the status stays None.
             status = None
         attempts, took_s = self._arrivals.get(number, 0), trio.current_time() - sent_s
+        named = tuple(parts or ())
         answers.append(
-            Answer(sent_s, tuple(parts), status, verdict, attempts, took_s, retry_after)
+            Answer(sent_s, named, status, verdict, attempts, took_s, retry_after)
         )
 
-    async def ask_one(self, parts, gateway=None, path="/draw/x"):
+    async def ask_one(self, parts, *args, **kwargs):
         """
         Send a request; see `ask`.
 
         Parameters
         ----------
-        parts : sequence of str
-        gateway, path : str
+        parts : sequence of str or None
+        *args, **kwargs
+            Of `ask`, those after the list of answers.
 
         Returns
         -------
         Answer
         """
         answers = []
-        await self.ask(parts, answers, gateway, path)
+        await self.ask(parts, answers, *args, **kwargs)
         return answers[0]
 
+    async def ask_again(self, tries, pause_s, parts, **kwargs):
+        """
+        Send a request until it is answered, each time under an attempt id of its own.
+
+        Parameters
+        ----------
+        tries : int
+        pause_s : float
+            Between two tries, whatever a refusal asks for.
+        parts : sequence of str or None
+        **kwargs
+            Of `ask`.
+
+        Returns
+        -------
+        list of Answer
+        """
+        answers = []
+        for _ in range(tries):
+            await self.ask(parts, answers, **kwargs)
+            if answers[-1].status == 200:
+                break
+            await trio.sleep(pause_s)
+        return answers
+
     async def ask_often(self, rate, for_s, parts_of):
         """
         Send requests at a rate.
