Send a request to no further server once three have ended under it

What callers see: the request of one caller ended server after server; each try, under an attempt id of its own, reached two more, and sound requests at these were cut off.

Cause: nothing connected the tries of one request. Ends were held against shared parts of prompts only, which sound requests prove within a second; an end after half a second of events, or under a request without parts, was held against nothing. The class: the work that harms a server was identified by what it shares with others, and not by itself.

Now a gateway hashes what a request asks for (account, method, host, path, prompt, body) once a server has ended under it, and counts its ends and its attempts in progress over all gateways, by the news that exists. Three at most, then request-quarantined; a whole answer clears the count. A broken attempt counts until it is known whether its server ended; streams that were not read are checked as well.

Why it works: each way of reaching a server passes clear_to_send (attempts, resumptions, other gateways), and what identifies the request is what its caller can't leave out.

Suspicion's history and the clearance get modules of their own, shared by both tables.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -1,9 +1,9 @@
-"""Tells other gateways of parts of prompts that servers ended under."""
+"""Tells other gateways of prompt parts and requests that servers ended under."""
 
 import orjson
 import trio
 
-from gooseberryyoke.crash import merge_record, pack_record
+from gooseberryyoke.crash import is_fingerprint, merge_record, pack_record
 
 __all__ = ["CrashNews"]
 
@@ -14,6 +14,8 @@
 """From one to the next; the others have to know of this gateway to answer it."""
 _DATAGRAM_BYTES = 1000
 """Of records; longer datagrams would be sent in parts, and be lost with any of them."""
+_MOST_REQUESTS_TOLD = 64
+"""To a gateway that has started."""
 
 
 class CrashNews:
@@ -23,6 +25,7 @@
     Parameters
     ----------
     suspects : Suspects
+    requests : RequestCrashes
     gateway : str
         Name of this one.
     on_change : callable
@@ -31,6 +34,7 @@
 
     __slots__ = (
         "_suspects",
+        "_requests",
         "_gateway",
         "_on_change",
         "_unsent",
@@ -38,23 +42,25 @@
         "_first",
     )
 
-    def __init__(self, suspects, gateway, on_change):
+    def __init__(self, suspects, requests, gateway, on_change):
         self._suspects = suspects
+        self._requests = requests
         self._gateway = gateway
         self._on_change = on_change
         self._unsent = {}
         self._wanted = trio.Event()
         self._first = 0
 
-    def tell(self, parts):
+    def tell(self, subjects):
         """
-        Tell all gateways what is known of some parts.
+        Tell all gateways what is known of some parts and requests.
 
         Parameters
         ----------
-        parts : iterable of str
+        subjects : iterable of str
+            Prompt parts and fingerprints.
         """
-        self._unsent.update(dict.fromkeys(parts))
+        self._unsent.update(dict.fromkeys(subjects))
         if self._unsent:
             self._wanted.set()
 
@@ -74,9 +80,11 @@
             nursery.start_soon(self._ask, send, others)
             while True:
                 await trio.sleep(_REPEAT_S)
-                self._suspects.remove_expired(trio.current_time())
-                parts = self._suspects.parts()
-                await self._send(send, self._next_receivers(others()), parts)
+                now = trio.current_time()
+                self._suspects.remove_expired(now)
+                self._requests.remove_expired(now)
+                subjects = self._suspects.parts() + self._requests.take_due(now)
+                await self._send(send, self._next_receivers(others()), subjects)
 
     async def _ask(self, send, others):
         """Ask some gateways for all that they know, which a start has lost."""
@@ -88,8 +96,8 @@
         while True:
             await self._wanted.wait()
             self._wanted = trio.Event()
-            parts, self._unsent = list(self._unsent), {}
-            await self._send(send, others(), parts)
+            subjects, self._unsent = list(self._unsent), {}
+            await self._send(send, others(), subjects)
 
     def _next_receivers(self, others):
         others = sorted(others, key=lambda entry: entry.name)
@@ -99,11 +107,15 @@
         self._first = first + _REPEATED_TO
         return (others + others)[first : first + _REPEATED_TO]
 
-    async def _send(self, send, receivers, parts):
+    def _table_of(self, subject):
+        return self._requests if is_fingerprint(subject) else self._suspects
+
+    async def _send(self, send, receivers, subjects):
         now = trio.current_time()
         records, length_bytes = [], 0
-        for part in parts:
-            record = pack_record(self._suspects, part, self._gateway, now)
+        for subject in subjects:
+            table = self._table_of(subject)
+            record = pack_record(table, subject, self._gateway, now)
             size_bytes = len(orjson.dumps(record))
             if records and length_bytes + size_bytes > _DATAGRAM_BYTES:
                 await send(receivers, records)
@@ -133,11 +145,16 @@
         now = trio.current_time()
         changed, behind = False, []
         for record in records:
-            is_new, is_behind = merge_record(self._suspects, record, gateway, now)
+            table = self._table_of(record[0])
+            is_new, is_behind = merge_record(table, record, gateway, now)
             changed |= is_new
             if is_behind:
                 behind.append(record[0])
         if changed:
             self._on_change()
-        lacking = behind if records else self._suspects.parts()
+        lacking = behind if records else self._known_subjects()
         await self._send(lambda _, batch: send(batch), None, lacking)
+
+    def _known_subjects(self):
+        requests = self._requests.most_crashed(_MOST_REQUESTS_TOLD)
+        return self._suspects.parts() + requests
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -55,6 +55,8 @@
         Of the last one of them that had an id.
     is_on_trial : bool
         Its attempt shows whether a part of its prompt crashes servers.
+    is_send_counted : bool
+        Its attempt counts at `RequestCrashes` as being at a server.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "events",
         "last_event_id",
         "is_on_trial",
+        "is_send_counted",
         "_fingerprint",
         "_prompt",
     )
@@ -111,6 +114,7 @@
         self.events = 0
         self.last_event_id = None
         self.is_on_trial = False
+        self.is_send_counted = False
 
     @property
     def fingerprint(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -175,6 +175,7 @@
         suspected, quarantined = self.quarantine.suspects.count(trio.current_time())
         metrics.set("prompt_parts_suspected", suspected)
         metrics.set("prompt_parts_quarantined", quarantined)
+        metrics.set("requests_quarantined", self.quarantine.requests.count_refused())
         for service, count in self._servers.count_by_service().items():
             metrics.set("servers", count, service=service)
         for service, count in self._servers.count_in_backoff().items():
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -1,9 +1,15 @@
-"""Keeps requests from servers while a part of their prompts may crash these."""
+"""Keeps requests from servers that they, or parts of their prompts, may crash."""
 
 import trio
 from returns.result import Failure
 
-from gooseberryyoke.crash import ClearanceKind, Suspects
+from gooseberryyoke.crash import (
+    ClearanceKind,
+    RequestCrashes,
+    Suspects,
+    is_fingerprint,
+    strictest,
+)
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.gateway.crash_news import CrashNews
 from gooseberryyoke_daemon.gateway.server_ends import ServerEnds, life_of
@@ -20,6 +26,14 @@
 _LONGEST_RETRY_S = 60.0
 _BROKEN = ("answer-cut", "no-answer")
 """Reasons of failed attempts whose connections ended."""
+_PART_REASONS = {
+    ClearanceKind.WAIT: "prompt-suspected",
+    ClearanceKind.REFUSED: "prompt-quarantined",
+}
+_REQUEST_REASONS = {
+    ClearanceKind.WAIT: "request-suspected",
+    ClearanceKind.REFUSED: "request-quarantined",
+}
 
 
 class Quarantine:
@@ -37,14 +51,24 @@
     Attributes
     ----------
     suspects : Suspects
+    requests : RequestCrashes
     news : CrashNews
     """
 
-    __slots__ = ("suspects", "news", "_ends", "_observer", "_changed", "_checks")
+    __slots__ = (
+        "suspects",
+        "requests",
+        "news",
+        "_ends",
+        "_observer",
+        "_changed",
+        "_checks",
+    )
 
     def __init__(self, gateway, client, observer):
         self.suspects = Suspects(gateway)
-        self.news = CrashNews(self.suspects, gateway, self._wake)
+        self.requests = RequestCrashes(gateway)
+        self.news = CrashNews(self.suspects, self.requests, gateway, self._wake)
         self._ends = ServerEnds(client)
         self._observer = observer
         self._changed = trio.Event()
@@ -59,11 +83,18 @@
     async def __call__(self, exchange, proceed):
         """Refuse at once what can't be sent for long; a filter."""
         now = trio.current_time()
-        clearance = self.suspects.clearance(exchange.parts, now)
+        clearance = self._clearance(exchange, now)
         if clearance.kind is ClearanceKind.REFUSED:
-            return Failure(_refusal(exchange, clearance, now))
+            return Failure(self._refuse(exchange, clearance, now))
         return await proceed()
 
+    def _clearance(self, exchange, now):
+        of_parts = self.suspects.clearance(exchange.parts, now)
+        if not self.requests:
+            return of_parts
+        of_request = self.requests.clearance(exchange.fingerprint, now)
+        return strictest((of_request, of_parts))
+
     async def clear_to_send(self, exchange):
         """
         Wait until a request may be sent.
@@ -80,17 +111,22 @@
         give_up_s = min(exchange.deadline_s, trio.current_time() + _LONGEST_WAIT_S)
         while True:
             now = trio.current_time()
-            clearance = self.suspects.clearance(exchange.parts, now)
-            if clearance.kind is ClearanceKind.FREE:
-                return None
-            if clearance.kind is ClearanceKind.TRIAL:
-                self._begin_trial(exchange, now)
+            clearance = self._clearance(exchange, now)
+            if clearance.kind in (ClearanceKind.FREE, ClearanceKind.TRIAL):
+                self._begin_send(exchange, clearance, now)
                 return None
             if clearance.kind is ClearanceKind.REFUSED or now >= give_up_s:
-                return _refusal(exchange, clearance, now)
+                return self._refuse(exchange, clearance, now)
             with trio.move_on_at(min(clearance.until_s, give_up_s)):
                 await self._changed.wait()
 
+    def _begin_send(self, exchange, clearance, now):
+        if clearance.kind is ClearanceKind.TRIAL:
+            self._begin_trial(exchange, now)
+        if self.requests and self.requests.begin_send(exchange.fingerprint, now):
+            exchange.is_send_counted = True
+            self.news.tell([exchange.fingerprint])
+
     def _begin_trial(self, exchange, now):
         exchange.is_on_trial = True
         parts = self.suspects.begin_trial(exchange.parts, now)
@@ -113,6 +149,24 @@
             self.news.tell(cleared)
             self._wake()
 
+    def note_answered(self, exchange):
+        """
+        Note a whole answer, which proves that the request does servers no harm.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        """
+        now = trio.current_time()
+        if self.requests and self.requests.record_success(exchange.fingerprint, now):
+            log_event(
+                "request-cleared",
+                request=exchange.number,
+                fingerprint=exchange.fingerprint,
+            )
+            self.news.tell([exchange.fingerprint])
+        self.note_over(exchange)
+
     async def note_failed(self, exchange, server, exc, has_held=False):
         """
         Note a failed attempt: its server may have ended under it.
@@ -126,23 +180,35 @@
             Its answer had given events for a while.
         """
         try:
-            if exc.reason not in _BROKEN:
-                return
-            if exchange.parts and not has_held:
-                if await self._has_ended(exchange, server, has_held):
-                    self._note_end(exchange, server)
-            else:
-                # The next attempt doesn't depend on it, and must not wait for it.
-                self._checks.start_soon(self._has_ended, exchange, server, has_held)
+            if exc.reason in _BROKEN:
+                await self._note_broken(exchange, server, has_held)
         finally:
             self.note_over(exchange)
 
-    async def _has_ended(self, exchange, server, has_held):
-        has_ended = await self._ends.has_ended(server)
+    async def _note_broken(self, exchange, server, has_held):
+        # Until the check is done the attempt counts as being at its server.
+        self.requests.begin_check(exchange.fingerprint, trio.current_time())
+        if exchange.parts and not has_held:
+            if await self._check(exchange, server, has_held):
+                self._note_end(exchange, server)
+        else:
+            # The parts don't depend on it, so that the next attempt must not wait.
+            self._checks.start_soon(self._check, exchange, server, has_held)
+
+    async def _check(self, exchange, server, has_held):
+        """Find out whether a server has ended, and count it for the request."""
+        fingerprint, has_ended = exchange.fingerprint, False
+        try:
+            has_ended = await self._ends.has_ended(server)
+            if has_ended:
+                self._note_end_under_request(exchange, server)
+        finally:
+            self.requests.end_check(fingerprint)
+            self._wake()
         log_event(
             "broken-server-asked",
             request=exchange.number,
-            fingerprint=exchange.fingerprint,
+            fingerprint=fingerprint,
             server=server.entry.id,
             has_ended=has_ended,
             has_held=has_held,
@@ -150,13 +216,27 @@
         )
         return has_ended
 
+    def _note_end_under_request(self, exchange, server):
+        fingerprint, now = exchange.fingerprint, trio.current_time()
+        if not self.requests.record_crash(life_of(server), fingerprint, now):
+            return
+        self._observer.server_ended_under(exchange.service)
+        log_event(
+            "request-ended-server",
+            level="warning",
+            request=exchange.number,
+            fingerprint=fingerprint,
+            server=server.entry.id,
+            ends=len(self.requests.get(fingerprint).crashes_s),
+        )
+        self.news.tell([fingerprint])
+
     def _note_end(self, exchange, server):
         now = trio.current_time()
         changed = self.suspects.record_crash(life_of(server), exchange.parts, now)
         if not changed:
             return
         counts = {part: self.suspects.get(part).crash_count(now) for part in changed}
-        self._observer.server_ended_under(exchange.service)
         log_event(
             "server-ended",
             level="warning",
@@ -177,6 +257,11 @@
         ----------
         exchange : Exchange
         """
+        if exchange.is_send_counted:
+            exchange.is_send_counted = False
+            self.requests.end_send(exchange.fingerprint)
+            self.news.tell([exchange.fingerprint])
+            self._wake()
         if exchange.is_on_trial:
             self._end_trial(exchange)
             self._wake()
@@ -190,14 +275,31 @@
         changed, self._changed = self._changed, trio.Event()
         changed.set()
 
+    def _refuse(self, exchange, clearance, now):
+        if not is_fingerprint(clearance.subject):
+            detail = f"servers ended under part {clearance.subject} of the prompt"
+            reason = _PART_REASONS[clearance.kind]
+            return _refusal(exchange, clearance, now, reason, detail)
+        crashes_s = self.requests.get(clearance.subject).crashes_s
+        log_event(
+            "request-kept-back",
+            level="warning",
+            request=exchange.number,
+            fingerprint=clearance.subject,
+            servers=",".join(crashes_s),
+            ages_ms=",".join(
+                str(round(1000 * (now - at))) for at in crashes_s.values()
+            ),
+        )
+        detail = f"{len(crashes_s)} servers ended under {clearance.subject}"
+        reason = _REQUEST_REASONS[clearance.kind]
+        return _refusal(exchange, clearance, now, reason, detail)
+
 
-def _refusal(exchange, clearance, now):
-    if clearance.kind is ClearanceKind.WAIT:
-        reason, retry_s = "prompt-suspected", _WAIT_RETRY_S
-    else:
-        reason = "prompt-quarantined"
+def _refusal(exchange, clearance, now, reason, detail):
+    retry_s = _WAIT_RETRY_S
+    if clearance.kind is ClearanceKind.REFUSED:
         retry_s = min(_LONGEST_RETRY_S, max(_WAIT_RETRY_S, clearance.until_s - now))
-    detail = f"servers ended under part {clearance.part} of the prompt"
     if exchange.verdict in (None, Verdict.NOT_RUN):
         return Refusal(Verdict.NOT_RUN, 503, reason, detail, retry_s)
     return Refusal(exchange.verdict, 502, reason, detail)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -181,6 +181,8 @@
         call : Call
             That brought the end of the answer.
         """
+        if call.head.status == _OK:
+            self._quarantine.note_answered(exchange)
         now = trio.current_time()
         cause = late_by(exchange, call.sent_s, call.first_s)
         cause = None if cause is None else cause.value
@@ -299,6 +301,18 @@
         self._note_broken(exchange, server, exc)
         await self._quarantine.note_failed(exchange, server, exc, has_held)
 
+    async def check_ended(self, exchange, server, exc):
+        """
+        Find out whether a server has ended that is not blamed for a failed attempt.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        server : Server
+        exc : CallFailed
+        """
+        await self._quarantine.note_failed(exchange, server, exc, has_held=True)
+
     def _note_broken(self, exchange, server, exc):
         exchange.verdict = exchange.verdict.then(exc.verdict)
         now = trio.current_time()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/stream.py
@@ -216,9 +216,12 @@
         # by another one, it would meet the same caller.
         is_unread = self._buffer is not None and self._buffer.waited_s > _UNREAD_S
         await broken.close()
-        if not is_unread:
-            held, self._has_held = self._has_held, False
-            self._held_from_s = None
+        held, self._has_held = self._has_held, False
+        self._held_from_s = None
+        if is_unread:
+            # It may have ended all the same.
+            await self._relay.check_ended(exchange, broken.server, exc)
+        else:
             await self._relay.attempt_failed(exchange, broken.server, exc, held)
         if self._may_resume() and not is_unread:
             self._call = await self._relay.resume(exchange, exchange.last_event_id)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
@@ -1,9 +1,13 @@
 """The load: sound requests, and one that crashes each engine that it reaches."""
 
+from functools import partial
+from random import Random
+
 import pytest
 import trio
 
 from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL_BODY, run_fleet
+from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
 
 RATE = 25.0
 KNOWN_S = 2.0
@@ -70,3 +74,140 @@
         await fleet.ask_again(4, 0.3, parts, own="own", body=HARMFUL_BODY)
 
     assert max(run(with_load(harm, LONG_STREAM, after), gateways)) <= MOST_ENDS
+
+
+def test_a_stream_that_its_caller_resumes_is_the_same_request():
+    """The caller asks for what is missing, under another attempt id."""
+
+    async def harm(fleet):
+        for after in (None, "3", "6", "9"):
+            stream = {"own": "own", "body": HARMFUL_BODY, "last_event_id": after}
+            await fleet.ask_one(PROMPT, **stream)
+            await trio.sleep(0.3)
+
+    assert max(run(with_load(harm, LONG_STREAM, LATE_EVENTS), 4)) <= MOST_ENDS
+
+
+def test_a_request_that_is_refused_is_told_that_it_has_not_run():
+    async def main(fleet):
+        tries = await fleet.ask_again(4, 0.3, PROMPT, own="own", body=HARMFUL_BODY)
+        return tries[-1]
+
+    answer = run(main, gateways=2)
+    assert (answer.status, answer.verdict, answer.attempts) == (503, "not-run", 0)
+    assert float(answer.retry_after) > 1.0
+    assert answer.took_s < 0.1
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_all_gateways_count_though_a_third_of_the_datagrams_is_lost(monkeypatch, seed):
+    """A gateway that misses an end sends the request to one engine more."""
+    rng, deliver = Random(seed), MemoryEndpoint.deliver
+
+    def lose_some(endpoint, data):
+        if rng.random() > 1 / 3:
+            deliver(endpoint, data)
+
+    monkeypatch.setattr(MemoryEndpoint, "deliver", lose_some)
+
+    async def harm(fleet):
+        await fleet.ask_again(6, 2.0, PROMPT, own="own", body=HARMFUL_BODY)
+
+    assert max(run(with_load(harm), 4, seed)) <= MOST_ENDS
+
+
+def test_a_gateway_that_starts_hears_of_refused_requests():
+    """It knows nothing, and the caller comes to it next."""
+
+    async def main(fleet):
+        request = {"own": "own", "body": HARMFUL_BODY}
+        fleet.kill_gateway("g1")
+        await fleet.ask_again(3, 0.3, PROMPT, gateway="g0", **request)
+        await trio.sleep(2.0)
+        await fleet.start_gateway("g1")
+        await trio.sleep(1.0)
+        await fleet.ask_again(3, 0.3, PROMPT, gateway="g1", **request)
+        return len(fleet.harmful_arrivals)
+
+    assert run(main, gateways=3) <= MOST_ENDS
+
+
+def test_copies_sent_at_once_after_an_end_end_three_engines():
+    """A caller with many tries sends them at once; each was at an engine of its own."""
+
+    async def main(fleet):
+        request = {"own": "own", "body": HARMFUL_BODY, "path": PLAIN}
+        await fleet.ask_one(PROMPT, **request)
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(partial(fleet.ask, PROMPT, [], **request))
+        return len(fleet.harmful_ends)
+
+    assert run(main) <= MOST_ENDS
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_equal_requests_are_served_while_engines_crash(gateways):
+    """Sound requests that are equal lose many engines, and are one to the gateways."""
+
+    async def crash_some(fleet):
+        for _ in range(8):
+            await trio.sleep(1.5)
+            fleet.crash_any()
+
+    async def main(fleet):
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash_some, fleet)
+            for number in range(400):
+                path = STREAM if number % 2 else PLAIN
+                nursery.start_soon(partial(fleet.ask, None, answers, path=path))
+                await trio.sleep(1 / RATE)
+        return [answer.status for answer in answers]
+
+    assert run(main, gateways) == [200] * 400
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_engines_that_crash_for_other_reasons_have_no_request_refused(seed):
+    """A sound request must not lose its tries to engines that end all the time."""
+
+    async def crash_some(fleet):
+        for _ in range(24):
+            await trio.sleep(0.5)
+            fleet.crash_any()
+
+    async def main(fleet):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(crash_some, fleet)
+            answers = await fleet.ask_often(2 * RATE, 12.0, sound)
+        return [answer.reason for answer in answers]
+
+    assert not {"request-suspected", "request-quarantined"} & set(run(main, 4, seed))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_rack_that_fails_again_and_again_has_no_request_refused(seed):
+    """Callers come back under new attempt ids while half of the engines ends thrice."""
+
+    async def fail_rack(fleet):
+        for _ in range(3):
+            for engine in fleet.running()[:5]:
+                fleet.crash(engine)
+            await trio.sleep(4.0)
+
+    async def main(fleet):
+        statuses = []
+
+        async def caller(number):
+            tries = await fleet.ask_again(4, 0.5, sound(fleet.rng), own=f"own{number}")
+            statuses.append(tries[-1].status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fail_rack, fleet)
+            for number in range(200):
+                nursery.start_soon(caller, number)
+                await trio.sleep(1 / RATE)
+        return statuses
+
+    assert run(main, 4, seed) == [200] * 200
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -170,6 +170,10 @@
         "prompt_parts_quarantined",
         "Parts of prompts whose requests are refused, as servers ended under them.",
     ),
+    Definition(
+        "requests_quarantined",
+        "Requests that are sent to no further server, as three have ended under each.",
+    ),
     Definition("servers", "Backend servers that take requests.", ("service",)),
     Definition(
         "servers_in_backoff",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import orjson
 import trio
 import trio.testing
 
@@ -61,6 +62,8 @@
         Until the end of its answer.
     retry_after : str or None
         Of a refusal.
+    reason : str or None
+        Of a gateway's own answer.
     """
 
     __slots__ = (
@@ -71,9 +74,13 @@
         "attempts",
         "took_s",
         "retry_after",
+        "reason",
     )
 
-    def __init__(self, sent_s, parts, status, verdict, attempts, took_s, retry_after):
+    def __init__(
+        self, sent_s, parts, status, verdict, attempts, took_s, retry_after, reason
+    ):
+        self.reason = reason
         self.took_s = took_s
         self.retry_after = retry_after
         self.sent_s = sent_s
@@ -352,21 +359,20 @@
         request = Request("POST", path, headers, body)
         caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
         sent_s = trio.current_time()
-        status = verdict = retry_after = None
+        status = verdict = retry_after = reason = None
         try:
             async with caller.open(Address.parse(entry.address), request) as reply:
-                await reply.read()
+                answer = await reply.read()
                 status = reply.status
                 verdict = reply.header("gooseberryyoke-verdict")
+                reason = orjson.loads(answer)["reason"] if verdict else None
                 retry_after = reply.header("retry-after")
         except WireError:
             # Broken off: the status stays None.
             status = None
         attempts, took_s = self._arrivals.get(number, 0), trio.current_time() - sent_s
-        named = tuple(parts or ())
-        answers.append(
-            Answer(sent_s, named, status, verdict, attempts, took_s, retry_after)
-        )
+        outcome = (status, verdict, attempts, took_s, retry_after, reason)
+        answers.append(Answer(sent_s, tuple(parts or ()), *outcome))
 
     async def ask_one(self, parts, *args, **kwargs):
         """
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/__init__.py
@@ -1,14 +1,17 @@
-"""Detect and quarantine prompt parts that may crash backend servers."""
+"""Detect and quarantine prompt parts and requests that may crash backend servers."""
 
+from gooseberryyoke.crash.clearance import Clearance, ClearanceKind, strictest
 from gooseberryyoke.crash.fingerprint import is_fingerprint, request_fingerprint
 from gooseberryyoke.crash.gossip import merge_record, pack_record
 from gooseberryyoke.crash.prompt import shared_parts
-from gooseberryyoke.crash.suspects import Clearance, ClearanceKind, Suspects
+from gooseberryyoke.crash.requests import RequestCrashes
+from gooseberryyoke.crash.suspects import Suspects
 from gooseberryyoke.crash.suspicion import Suspicion
 
 __all__ = [
     "Clearance",
     "ClearanceKind",
+    "RequestCrashes",
     "Suspects",
     "Suspicion",
     "is_fingerprint",
@@ -16,4 +19,5 @@
     "pack_record",
     "request_fingerprint",
     "shared_parts",
+    "strictest",
 ]
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -6,17 +6,15 @@
 """
 
 from collections import OrderedDict
-from enum import Enum
 from math import inf
 from zlib import crc32
 
+from gooseberryyoke.crash.clearance import FREE, Clearance, ClearanceKind, strictest
+from gooseberryyoke.crash.history import TRIAL_TIMEOUT_S, is_later_success
 from gooseberryyoke.crash.suspicion import Suspicion
-from gooseberryyoke.record import Record
 
-__all__ = ["Clearance", "ClearanceKind", "Suspects"]
+__all__ = ["Suspects"]
 
-TRIAL_TIMEOUT_S = 3.0
-"""Time in seconds after which an unfinished trial is ignored."""
 _TRIAL_JITTER_S = 0.5
 """Upper bound in seconds of the delay before a trial, computed from gateway and part.
 Without the delay several gateways would begin a trial at once: all of them learn of a
@@ -26,10 +24,6 @@
 """Additional delay in seconds for requests with several suspected parts. Requests with
 only one of the parts are tried first: a success clears a harmless part before it can be
 blamed for a crash that another part causes."""
-_SUCCESS_TOLERANCE_S = 0.05
-"""Tolerance in seconds when times of successes are compared. Received ages exclude the
-transit time of the datagram; without a tolerance a success would appear later with each
-gateway that forwards it, and two gateways would correct each other for ever."""
 _MAX_SUCCESSES = 4096
 _MAX_SUSPICIONS = 256
 _RETENTION_S = 600.0
@@ -38,41 +32,6 @@
 would crash as many servers again after each quiet period."""
 
 
-class ClearanceKind(Enum):
-    """Outcomes of the check whether a request may be sent."""
-
-    FREE = "free"
-    TRIAL = "trial"
-    """The request may be sent as the only one with the suspected part."""
-    WAIT = "wait"
-    """The request waits, because the decision is expected soon."""
-    REFUSED = "refused"
-
-
-class Clearance(Record):
-    """
-    Decision whether a request may be sent now.
-
-    Parameters
-    ----------
-    kind : ClearanceKind
-    until_s : float
-        When to check again; for a refusal, the earliest time of the next trial.
-    part : str or None
-        Prompt part that determined the decision.
-    """
-
-    __slots__ = ("kind", "until_s", "part")
-
-    def __init__(self, kind, until_s=-inf, part=None):
-        self.kind = kind
-        self.until_s = until_s
-        self.part = part
-
-
-_FREE = Clearance(ClearanceKind.FREE)
-
-
 class Suspects:
     """
     Table of the suspected prompt parts known to this gateway.
@@ -168,18 +127,13 @@
             The decision for the most restricted part.
         """
         if not self._suspicions:
-            return _FREE
+            return FREE
         suspected = self._suspected(parts, now)
         base_delay_s = _MULTI_PART_DELAY_S if len(suspected) > 1 else 0.0
-        strictest = _FREE
-        for part, suspicion in suspected:
-            delay_s = base_delay_s + self._jitter_s(part)
-            clearance = _part_clearance(part, suspicion, now, delay_s)
-            if _BY_RESTRICTION.index(clearance.kind) > _BY_RESTRICTION.index(
-                strictest.kind
-            ):
-                strictest = clearance
-        return strictest
+        return strictest(
+            _part_clearance(part, suspicion, now, base_delay_s + self._jitter_s(part))
+            for part, suspicion in suspected
+        )
 
     def _suspected(self, parts, now):
         """List the parts whose crashes count, with their histories."""
@@ -334,25 +288,16 @@
         is_behind : bool
             Whether the sender lacks a later success that is known to this gateway.
         """
-        if last_success_s - self.last_success_s(part) > _SUCCESS_TOLERANCE_S:
-            self._update_success_time(part, last_success_s)
-        known_success_s = self.last_success_s(part)
-        is_behind = (
-            bool(crashes_s) and known_success_s - last_success_s > _SUCCESS_TOLERANCE_S
-        )
+        success_s = self.last_success_s(part)
+        if is_later_success(last_success_s, success_s):
+            success_s = last_success_s
+            self._update_success_time(part, success_s)
+        is_behind = bool(crashes_s) and is_later_success(success_s, last_success_s)
         known = self._suspicions.get(part)
-        if known is None and not any(at > known_success_s for at in crashes_s.values()):
+        if known is None and not any(at_s > success_s for at_s in crashes_s.values()):
             return False, is_behind
         suspicion = self._get_or_create(part)
-        changed = known_success_s > suspicion.last_success_s
-        suspicion.record_success(known_success_s)
-        for incarnation, at_s in crashes_s.items():
-            changed |= suspicion.add_crash(incarnation, at_s)
-        suspicion.last_seen_s = max(suspicion.last_seen_s, suspicion.last_crash_s)
-        previous_deadline_s = suspicion.trial_deadlines_s.pop(gateway, None)
-        if trial_until_s is not None and trial_until_s > now:
-            suspicion.trial_deadlines_s[gateway] = trial_until_s
-        changed |= previous_deadline_s is not None and trial_until_s is None
+        changed = suspicion.merge(crashes_s, success_s, gateway, trial_until_s, now)
         return changed, is_behind
 
     def remove_expired(self, now):
@@ -366,21 +311,11 @@
         for part, suspicion in list(self._suspicions.items()):
             is_refused = suspicion.crash_count(now) > 1
             retention_s = _REFUSED_RETENTION_S if is_refused else _RETENTION_S
-            last_activity_s = max(
-                suspicion.last_seen_s, suspicion.last_crash_s, suspicion.last_success_s
-            )
-            if now - last_activity_s > retention_s or not suspicion.crashes_s:
+            is_expired = now - suspicion.last_activity_s > retention_s
+            if is_expired or not suspicion.crashes_s:
                 del self._suspicions[part]
 
 
-_BY_RESTRICTION = (
-    ClearanceKind.FREE,
-    ClearanceKind.TRIAL,
-    ClearanceKind.WAIT,
-    ClearanceKind.REFUSED,
-)
-
-
 def _part_clearance(part, suspicion, now, delay_s):
     count = suspicion.crash_count(now)
     earliest_s = suspicion.next_trial_s(now) + delay_s
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
@@ -2,6 +2,8 @@
 
 from math import inf
 
+from gooseberryyoke.crash.history import CrashHistory
+
 __all__ = ["Suspicion"]
 
 _SAME_CAUSE_S = 0.5
@@ -23,86 +25,12 @@
 _COOLDOWNS_S = (0.0, 1.0, 30.0, 120.0, 600.0)
 """Cool-down in seconds from the last crash to the next trial, indexed by the number of
 crashes. With more crashes no further trial is allowed."""
-_MAX_CRASHES = 8
-
-
-class Suspicion:
-    """
-    Crashes of servers that were processing a prompt part, and its last success.
-
-    Parameters
-    ----------
-    last_success_s : float
-        Time of the last successful answer to a request with the part; ``-inf`` if
-        there was none.
-
-    Attributes
-    ----------
-    crashes_s : dict of str to float
-        Crash times by server incarnation.
-    last_seen_s : float
-        Time at which the part was last requested or reported by another gateway.
-    trial_deadlines_s : dict of str to float
-        Time by which the current trial of a gateway is over, by gateway.
-    """
 
-    __slots__ = ("crashes_s", "last_success_s", "last_seen_s", "trial_deadlines_s")
 
-    def __init__(self, last_success_s=-inf):
-        self.crashes_s = {}
-        self.last_success_s = last_success_s
-        self.last_seen_s = -inf
-        self.trial_deadlines_s = {}
+class Suspicion(CrashHistory):
+    """Crashes of servers that were processing a prompt part, and its last success."""
 
-    def add_crash(self, incarnation, at_s):
-        """
-        Record the crash of a server that was processing the part.
-
-        Parameters
-        ----------
-        incarnation : str
-        at_s : float
-
-        Returns
-        -------
-        bool
-            Whether the crash was not known before and is later than the last success.
-        """
-        if incarnation in self.crashes_s or at_s <= self.last_success_s:
-            return False
-        self.crashes_s[incarnation] = at_s
-        if len(self.crashes_s) > _MAX_CRASHES:
-            del self.crashes_s[min(self.crashes_s, key=self.crashes_s.get)]
-        return True
-
-    def record_success(self, at_s):
-        """
-        Record a successful answer, which clears all earlier crashes.
-
-        Parameters
-        ----------
-        at_s : float
-
-        Returns
-        -------
-        bool
-            Whether any crashes were cleared.
-        """
-        if at_s <= self.last_success_s:
-            return False
-        self.last_success_s = at_s
-        count_before = len(self.crashes_s)
-        self.crashes_s = {
-            incarnation: crash_s
-            for incarnation, crash_s in self.crashes_s.items()
-            if crash_s > at_s
-        }
-        return len(self.crashes_s) < count_before
-
-    @property
-    def last_crash_s(self):
-        """Time of the last crash; ``-inf`` if there is none."""
-        return max(self.crashes_s.values(), default=-inf)
+    __slots__ = ()
 
     def crash_count(self, now):
         """
@@ -145,19 +73,3 @@
         count = self.crash_count(now)
         cooldown_s = _COOLDOWNS_S[count] if count < len(_COOLDOWNS_S) else inf
         return self.last_crash_s + cooldown_s
-
-    def trial_until_s(self, now):
-        """
-        Return the time by which the trials of all gateways are over.
-
-        Parameters
-        ----------
-        now : float
-
-        Returns
-        -------
-        float or None
-            None if no trial is in progress.
-        """
-        latest_s = max(self.trial_deadlines_s.values(), default=-inf)
-        return latest_s if latest_s > now else None
--- a/tools/bench/quarantine.py
+++ b/tools/bench/quarantine.py
@@ -1,4 +1,4 @@
-"""Costs of the quarantine of prompts: processor time, bytes, datagrams and memory."""
+"""Costs of the quarantine of prompts and requests: processor time, bytes, datagrams and memory."""
 
 import tracemalloc
 from time import process_time
@@ -8,11 +8,19 @@
 import trio
 import trio.testing
 
-from gooseberryyoke.crash import Suspects, shared_parts
+from gooseberryyoke.crash import RequestCrashes, Suspects, shared_parts
 from gooseberryyoke_daemon.control import EntryPresence
 from gooseberryyoke_daemon.gateway.crash_news import CrashNews
 
-__all__ = ["change_bytes", "decision_us", "main", "memory_kb", "news_rate"]
+__all__ = [
+    "change_bytes",
+    "decision_us",
+    "main",
+    "memory_kb",
+    "news_rate",
+    "request_memory_kb",
+    "request_news_rate",
+]
 
 _PART_COUNTS = (3, 64)
 """Shared parts of a prompt."""
@@ -29,6 +37,9 @@
 _PROOFS = 4096
 _MOST_SUSPICIONS = 256
 _MOST_ENDS = 8
+_REQUESTS = (1, 10, 1024)
+"""Requests that servers ended under, and are repeated."""
+_REQUEST_ENDS = 3
 _HEAD_BYTES = 28
 """Of IP and UDP, for each datagram."""
 _MICROSECOND = 1e-6
@@ -47,6 +58,13 @@
             )
 
 
+def _end_requests(requests, count):
+    for number in range(count):
+        for life in range(_REQUEST_ENDS):
+            incarnation = f"engine-z-a-{life}/{1_764_800_000_000 + life}"
+            requests.record_crash(incarnation, f"request:{number:024x}", 0.0)
+
+
 def decision_us(part_count, suspicion_count, decisions=_DECISIONS):
     """
     Measure reading a request's parts and deciding on them.
@@ -87,7 +105,31 @@
     datagrams, byte_count : float
         A second, sent; heads of IP and UDP included.
     """
-    sent_bytes = _sent_bytes(gateway_count, suspicion_count, [], _NEWS_S)
+    suspects = Suspects("gateway-0")
+    _end(suspects, suspicion_count)
+    return _rate(gateway_count, suspects, RequestCrashes("gateway-0"))
+
+
+def request_news_rate(gateway_count, request_count):
+    """
+    Count what a gateway repeats of refused requests while nothing changes.
+
+    Parameters
+    ----------
+    gateway_count, request_count : int
+
+    Returns
+    -------
+    datagrams, byte_count : float
+        A second, sent; heads of IP and UDP included.
+    """
+    requests = RequestCrashes("gateway-0")
+    _end_requests(requests, request_count)
+    return _rate(gateway_count, Suspects("gateway-0"), requests)
+
+
+def _rate(gateway_count, suspects, requests):
+    sent_bytes = _sent_bytes(gateway_count, suspects, requests, [], _NEWS_S)
     return len(sent_bytes) / _NEWS_S, sum(sent_bytes) / _NEWS_S
 
 
@@ -103,11 +145,14 @@
     -------
     int
     """
-    parts = [_part(number) for number in range(part_count)]
-    return sum(_sent_bytes(gateway_count, part_count, parts, 0.0))
+    suspects, requests = Suspects("gateway-0"), RequestCrashes("gateway-0")
+    _end(suspects, part_count)
+    _end_requests(requests, 1)
+    subjects = [*suspects.parts(), *requests.most_crashed(1)]
+    return sum(_sent_bytes(gateway_count, suspects, requests, subjects, 0.0))
 
 
-def _sent_bytes(gateway_count, suspicion_count, told, for_s):
+def _sent_bytes(gateway_count, suspects, requests, told, for_s):
     """Let a gateway tell some parts, and repeat all for a time; give datagrams."""
     sent_bytes = []
     others = [
@@ -123,9 +168,7 @@
         sent_bytes.extend([len(data) + _HEAD_BYTES] * len(receivers))
 
     async def body():
-        suspects = Suspects("gateway-0")
-        _end(suspects, suspicion_count)
-        news = CrashNews(suspects, "gateway-0", lambda: None)
+        news = CrashNews(suspects, requests, "gateway-0", lambda: None)
         news.tell(told)
         with trio.move_on_after(for_s + 0.5):
             await news.run(send, lambda: others)
@@ -160,6 +203,28 @@
     return (proven - empty) / 1000, (held - proven) / 1000
 
 
+def request_memory_kb(count):
+    """
+    Measure what requests that servers ended under hold.
+
+    Parameters
+    ----------
+    count : int
+
+    Returns
+    -------
+    float
+    """
+    tracemalloc.start()
+    try:
+        requests = RequestCrashes("g")
+        empty = tracemalloc.get_traced_memory()[0]
+        _end_requests(requests, count)
+        return (tracemalloc.get_traced_memory()[0] - empty) / 1000
+    finally:
+        tracemalloc.stop()
+
+
 @click.command(help=__doc__)
 @click.option("--rounds", default=_ROUNDS, show_default=True)
 def main(rounds):
@@ -177,6 +242,12 @@
         for held in _REPEATED:
             datagrams, byte_count = news_rate(gateways, held)
             click.echo(f"| {gateways} | {held} | {datagrams:.1f} | {byte_count:.0f} |")
+    click.echo("\n| gateways | requests | datagrams a second | bytes a second |")
+    click.echo("|---|---|---|---|")
+    for gateways in _GATEWAYS:
+        for held in _REQUESTS:
+            datagrams, byte_count = request_news_rate(gateways, held)
+            click.echo(f"| {gateways} | {held} | {datagrams:.1f} | {byte_count:.0f} |")
     click.echo("\n| gateways | bytes told at once of one end |")
     click.echo("|---|---|")
     for gateways in _GATEWAYS:
@@ -186,6 +257,10 @@
     click.echo(
         f"{_MOST_SUSPICIONS} suspicions of {_MOST_ENDS} ends: {suspicions_kb:.0f} kB"
     )
+    requests_kb = request_memory_kb(_REQUESTS[-1])
+    click.echo(
+        f"{_REQUESTS[-1]} requests of {_REQUEST_ENDS} ends: {requests_kb:.0f} kB"
+    )
 
 
 if __name__ == "__main__":
