--- a/tools/bench/quarantine.py
+++ b/tools/bench/quarantine.py
@@ -1,4 +1,4 @@
-"""Costs of the quarantine of prompts and requests: processor time, bytes, datagrams and memory."""
+"""Costs of the quarantine of prompts and requests: time, datagrams and memory."""
 
 import tracemalloc
 from time import process_time
