Keep trials of different prompt parts at different servers

Cause: a gateway that begins a trial doesn't know where others run, and two ends of one server are two parts' ends. Gateways now tell at which servers requests are that may crash them; a trial goes to another one, or waits.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -3,7 +3,12 @@
 import orjson
 import trio
 
-from gooseberryyoke.crash import is_fingerprint, merge_record, pack_record
+from gooseberryyoke.crash import (
+    is_fingerprint,
+    is_trial_server,
+    merge_record,
+    pack_record,
+)
 
 __all__ = ["CrashNews"]
 
@@ -26,6 +31,7 @@
     ----------
     suspects : Suspects
     requests : RequestCrashes
+    trial_servers : TrialServers
     gateway : str
         Name of this one.
     on_change : callable
@@ -35,6 +41,7 @@
     __slots__ = (
         "_suspects",
         "_requests",
+        "_trial_servers",
         "_gateway",
         "_on_change",
         "_unsent",
@@ -42,9 +49,10 @@
         "_first",
     )
 
-    def __init__(self, suspects, requests, gateway, on_change):
+    def __init__(self, suspects, requests, trial_servers, gateway, on_change):
         self._suspects = suspects
         self._requests = requests
+        self._trial_servers = trial_servers
         self._gateway = gateway
         self._on_change = on_change
         self._unsent = {}
@@ -53,12 +61,12 @@
 
     def tell(self, subjects):
         """
-        Tell all gateways what is known of some parts and requests.
+        Tell all gateways what is known of some parts, requests and servers on trial.
 
         Parameters
         ----------
         subjects : iterable of str
-            Prompt parts and fingerprints.
+            Prompt parts, fingerprints and subjects of `TrialServers`.
         """
         self._unsent.update(dict.fromkeys(subjects))
         if self._unsent:
@@ -108,7 +116,9 @@
         return (others + others)[first : first + _REPEATED_TO]
 
     def _table_of(self, subject):
-        return self._requests if is_fingerprint(subject) else self._suspects
+        if is_fingerprint(subject):
+            return self._requests
+        return self._trial_servers if is_trial_server(subject) else self._suspects
 
     async def _send(self, send, receivers, subjects):
         now = trio.current_time()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -57,6 +57,8 @@
         Its attempt shows whether a part of its prompt crashes servers.
     is_send_counted : bool
         Its attempt counts at `RequestCrashes` as being at a server.
+    trial_server : str or None
+        Subject at `TrialServers` of the server that its attempt may crash.
     """
 
     __slots__ = (
@@ -84,6 +86,7 @@
         "last_event_id",
         "is_on_trial",
         "is_send_counted",
+        "trial_server",
         "_fingerprint",
         "_prompt",
     )
@@ -115,6 +118,7 @@
         self.last_event_id = None
         self.is_on_trial = False
         self.is_send_counted = False
+        self.trial_server = None
 
     @property
     def fingerprint(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -7,6 +7,7 @@
     ClearanceKind,
     RequestCrashes,
     Suspects,
+    TrialServers,
     is_fingerprint,
     strictest,
 )
@@ -59,6 +60,7 @@
         "suspects",
         "requests",
         "news",
+        "_trial_servers",
         "_ends",
         "_observer",
         "_changed",
@@ -68,7 +70,10 @@
     def __init__(self, gateway, client, observer):
         self.suspects = Suspects(gateway)
         self.requests = RequestCrashes(gateway)
-        self.news = CrashNews(self.suspects, self.requests, gateway, self._wake)
+        self._trial_servers = TrialServers(gateway)
+        self.news = CrashNews(
+            self.suspects, self.requests, self._trial_servers, gateway, self._wake
+        )
         self._ends = ServerEnds(client)
         self._observer = observer
         self._changed = trio.Event()
@@ -95,13 +100,15 @@
         of_request = self.requests.clearance(exchange.fingerprint, now)
         return strictest((of_request, of_parts))
 
-    async def clear_to_send(self, exchange):
+    async def clear_to_send(self, exchange, servers):
         """
         Wait until a request may be sent.
 
         Parameters
         ----------
         exchange : Exchange
+        servers : callable
+            Gives the servers that it may be sent to.
 
         Returns
         -------
@@ -112,6 +119,8 @@
         while True:
             now = trio.current_time()
             clearance = self._clearance(exchange, now)
+            if clearance.kind is ClearanceKind.TRIAL:
+                clearance = self._isolate(clearance, servers(), now)
             if clearance.kind in (ClearanceKind.FREE, ClearanceKind.TRIAL):
                 self._begin_send(exchange, clearance, now)
                 return None
@@ -120,6 +129,54 @@
             with trio.move_on_at(min(clearance.until_s, give_up_s)):
                 await self._changed.wait()
 
+    def _isolate(self, clearance, servers, now):
+        """Have a trial wait while each server is at work on another one."""
+        untils_s = [self._trial_until_s(server, now) for server in servers]
+        until_s = self._trial_servers.next_trial_s(clearance.subject)
+        if untils_s and None not in untils_s:
+            until_s = min(untils_s)
+        if until_s <= now:
+            return clearance
+        return clearance.replace(kind=ClearanceKind.WAIT, until_s=until_s)
+
+    def _trial_until_s(self, server, now):
+        return self._trial_servers.trial_until_s(life_of(server), now)
+
+    def is_on_trial(self, server):
+        """
+        Tell whether a request is at a server that may crash it.
+
+        Parameters
+        ----------
+        server : Server
+
+        Returns
+        -------
+        bool
+        """
+        return self._trial_until_s(server, trio.current_time()) is not None
+
+    def note_sent(self, exchange, server):
+        """
+        Note to which server a request goes.
+
+        Parameters
+        ----------
+        exchange : Exchange
+        server : Server
+        """
+        if exchange.is_on_trial or exchange.is_send_counted:
+            now = trio.current_time()
+            subject = self._trial_servers.begin(life_of(server), now)
+            exchange.trial_server = subject
+            self.news.tell([subject])
+
+    def _end_trial_server(self, exchange):
+        if exchange.trial_server is not None:
+            subject, exchange.trial_server = exchange.trial_server, None
+            self._trial_servers.end(subject, trio.current_time())
+            self.news.tell([subject])
+
     def _begin_send(self, exchange, clearance, now):
         if clearance.kind is ClearanceKind.TRIAL:
             self._begin_trial(exchange, now)
@@ -257,6 +314,7 @@
         ----------
         exchange : Exchange
         """
+        self._end_trial_server(exchange)
         if exchange.is_send_counted:
             exchange.is_send_counted = False
             self.requests.end_send(exchange.fingerprint)
@@ -269,6 +327,8 @@
     def _end_trial(self, exchange):
         if exchange.is_on_trial:
             exchange.is_on_trial = False
+            if not exchange.is_send_counted:
+                self._end_trial_server(exchange)
             self.news.tell(self.suspects.end_trial(exchange.parts))
 
     def _wake(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -1,5 +1,7 @@
 """Filter: attempts at servers until one answers, and the way of the answer back."""
 
+from functools import partial
+
 import trio
 from returns.result import Failure, Success
 
@@ -90,7 +92,7 @@
         unsent = 0
         while True:
             await self._until_heard()
-            refusal = await self._quarantine.clear_to_send(exchange)
+            refusal = await self._clear_to_send(exchange)
             if refusal is not None:
                 return Failure(refusal)
             if trio.current_time() >= exchange.deadline_s:
@@ -117,16 +119,30 @@
         if self._awake is not None:
             await self._awake.until_heard()
 
+    async def _clear_to_send(self, exchange):
+        return await self._quarantine.clear_to_send(
+            exchange, partial(self._untried, exchange)
+        )
+
+    def _untried(self, exchange):
+        servers = self._servers.of_service(exchange.service)
+        return [s for s in servers if s.entry.id not in exchange.tried]
+
     def _choose(self, exchange):
+        if exchange.is_on_trial or exchange.is_send_counted:
+            untried = self._untried(exchange)
+            on_trial = {s.entry.id for s in untried if self._quarantine.is_on_trial(s)}
+            server = self._choose_except(exchange, exchange.tried | on_trial)
+            if server is not None:
+                return server
+        return self._choose_except(exchange, exchange.tried)
+
+    def _choose_except(self, exchange, ids):
         is_last = exchange.sends + 1 >= exchange.route.max_attempts
-        return self._servers.choose(
-            exchange.service, exchange.tried, is_last, exchange.assigned
-        )
+        return self._servers.choose(exchange.service, ids, is_last, exchange.assigned)
 
     async def _attempt(self, exchange, server):
-        exchange.tried.add(server.entry.id)
-        exchange.sends += 1
-        exchange.sent_s = trio.current_time()
+        self._note_sent(exchange, server)
         call = await self._calls.open(exchange, server, self._until_s(exchange))
         try:
             return await self._answer(exchange, call)
@@ -134,6 +150,12 @@
             await call.close()
             raise
 
+    def _note_sent(self, exchange, server):
+        exchange.tried.add(server.entry.id)
+        exchange.sends += 1
+        exchange.sent_s = trio.current_time()
+        self._quarantine.note_sent(exchange, server)
+
     def note_held(self, exchange):
         """See `Quarantine.note_held`."""
         self._quarantine.note_held(exchange)
@@ -233,7 +255,7 @@
         """
         while True:
             await self._until_heard()
-            if await self._quarantine.clear_to_send(exchange) is not None:
+            if await self._clear_to_send(exchange) is not None:
                 return None
             server = self._choose(exchange)
             if server is None or not self._may_try_again(exchange):
@@ -245,9 +267,7 @@
                 await self.attempt_failed(exchange, server, exc)
 
     async def _continue_at(self, exchange, server, last_event_id):
-        exchange.tried.add(server.entry.id)
-        exchange.sends += 1
-        exchange.sent_s = trio.current_time()
+        self._note_sent(exchange, server)
         log_event(
             "stream-resumed",
             request=exchange.number,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -153,3 +153,30 @@
 
     run_fleet(main, gateways=4, engines=2)
     assert [answer.status for answer in outcome["answers"]] == [200] * 4
+
+
+@pytest.mark.parametrize("engines", [2, 3, 6])
+@pytest.mark.parametrize("seed", range(2, 6))
+def test_sound_new_parts_are_not_closed_by_trials_of_a_harmful_one(seed, engines):
+    """Trials of several new parts meet at the engine that one of them ends."""
+    outcome = {}
+    new = [f"new{number}" for number in range(3)]
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, [*new, HARMFUL], [], "g0")
+            await trio.sleep(0.5)
+            for name in fleet.nodes:
+                for part in (HARMFUL, *new):
+                    nursery.start_soon(fleet.ask, [part], [], name)
+            await trio.sleep(8.0)
+            for part in new:
+                nursery.start_soon(fleet.ask, [part], answers)
+        outcome["statuses"] = [answer.status for answer in answers]
+        outcome["ends"] = len(fleet.harmful_ends)
+
+    run_fleet(main, gateways=4, engines=engines, seed=seed)
+    assert outcome["statuses"] == [200] * 3
+    assert outcome["ends"] <= 2
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/__init__.py
@@ -7,6 +7,7 @@
 from gooseberryyoke.crash.requests import RequestCrashes
 from gooseberryyoke.crash.suspects import Suspects
 from gooseberryyoke.crash.suspicion import Suspicion
+from gooseberryyoke.crash.trial_servers import TrialServers, is_trial_server
 
 __all__ = [
     "Clearance",
@@ -14,7 +15,9 @@
     "RequestCrashes",
     "Suspects",
     "Suspicion",
+    "TrialServers",
     "is_fingerprint",
+    "is_trial_server",
     "merge_record",
     "pack_record",
     "request_fingerprint",
--- a/tools/bench/quarantine.py
+++ b/tools/bench/quarantine.py
@@ -8,7 +8,12 @@
 import trio
 import trio.testing
 
-from gooseberryyoke.crash import RequestCrashes, Suspects, shared_parts
+from gooseberryyoke.crash import (
+    RequestCrashes,
+    Suspects,
+    TrialServers,
+    shared_parts,
+)
 from gooseberryyoke_daemon.control import EntryPresence
 from gooseberryyoke_daemon.gateway.crash_news import CrashNews
 
@@ -168,7 +173,8 @@
         sent_bytes.extend([len(data) + _HEAD_BYTES] * len(receivers))
 
     async def body():
-        news = CrashNews(suspects, requests, "gateway-0", lambda: None)
+        servers = TrialServers("gateway-0")
+        news = CrashNews(suspects, requests, servers, "gateway-0", lambda: None)
         news.tell(told)
         with trio.move_on_after(for_s + 0.5):
             await news.run(send, lambda: others)
