Give background checks the gateway's own nursery

Cause: the start of a task of its own was a checkpoint before the server took over its listeners; a gateway killed just then left its address taken.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -144,7 +144,7 @@
     async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
         """Serve callers until stopped."""
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.quarantine.run)
+            self.quarantine.use_nursery(nursery)
             nursery.start_soon(self._admit.run)
             nursery.start_soon(self._servers.group_limits.run)
             nursery.start_soon(EvacuationWatch(self._servers).run)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -79,11 +79,15 @@
         self._changed = trio.Event()
         self._checks = None
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Check in the background whether servers have ended, until cancelled."""
-        async with trio.open_nursery() as self._checks:
-            task_status.started()
-            await trio.sleep_forever()
+    def use_nursery(self, nursery):
+        """
+        Take the nursery that checks in the background whether servers have ended.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+        """
+        self._checks = nursery
 
     async def __call__(self, exchange, proceed):
         """Refuse at once what can't be sent for long; a filter."""
