Soak requests that end engines by themselves, sent again by their callers

The crash soak knew one harmful part only. Its engines now end on single requests too, plain ones and streams, at once, after the first event or late, with and without prompt parts; their callers try three to six times, 0 to 1.5 s apart, at any gateway, while gateways and control processes are killed and paused. Point: none is sent to an engine after it has ended three.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -33,7 +33,7 @@
     result = await soak.run()
     click.echo(f"seed {seed}: {'held' if result.is_good else 'FAILED'}")
     if kind is not None:
-        click.echo(f"  {result.events[-1]}")
+        click.echo("\n".join(f"  {event}" for event in result.events[-2:]))
     if not result.is_good:
         for line in (*result.events, *map(str, result.points)):
             click.echo(f"  {line}")
@@ -60,7 +60,7 @@
     "--crashes",
     "kind",
     flag_value="crashes",
-    help="Send prompts with a part that servers end on instead.",
+    help="Send parts and requests that servers end on instead.",
 )
 def main(first, seeds, seconds, folder, kind):
     """Run a deployment under random faults, and check what its callers get."""
--- a/tools/soak/crash_soak.py
+++ b/tools/soak/crash_soak.py
@@ -1,5 +1,6 @@
-"""One run: prompts with a part that engines end on, while processes die too."""
+"""One run: parts and requests that engines end on, while processes die too."""
 
+from contextlib import suppress
 from functools import singledispatchmethod
 from random import Random
 
@@ -9,13 +10,18 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.wire import WireError
 from gooseberryyoke_platform.names import HEADERS
-from tools.soak.crashing_engine import HARMFUL, CrashingEngine, stream_body
+from tools.soak.crashing_engine import (
+    HARMFUL,
+    CrashingEngine,
+    harmful_path,
+    stream_body,
+)
 from tools.soak.faults import Kill, Pause
 from tools.soak.process_faults import ProcessFaults
 from tools.soak.routed_deployment import RoutedDeployment
 from tools.soak.soak import SoakResult
 
-__all__ = ["CrashSoak", "EndEngine", "late_arrivals"]
+__all__ = ["CrashSoak", "EndEngine", "late_arrivals", "sent_on"]
 
 _REQUESTS_A_SECOND = 30
 _CALM_REQUESTS = 60
@@ -37,6 +43,13 @@
 _LEARN_ENDS = 5
 _LEARN_S = 3.0
 _MOST_LATE = 3
+_MOST_REQUEST_ENDS = 3
+"""Engines that one request may end; none is sent it after them."""
+_TRIES = (3, 6)
+_TRY_PAUSES_S = (0.0, 0.3, 1.5)
+_EVENTS_BEFORE_END = (0, 1, 10)
+"""After ten events the answer has proven the parts of its prompt."""
+_BETWEEN_REQUESTS_S = (1.0, 4.0)
 _OK = 200
 
 
@@ -70,6 +83,30 @@
     return [at - fifth_s for at in sorted(arrivals_s) if at - fifth_s > _LEARN_S]
 
 
+def _prompt(parts):
+    return HEADERS.prompt_parts, ",".join(f"{part}:40" for part in parts)
+
+
+def sent_on(ends_s, arrivals_s):
+    """
+    Tell when a request reached engines after it had ended three.
+
+    Parameters
+    ----------
+    ends_s, arrivals_s : list of float
+        When engines ended for the request, and when it arrived, in any order.
+
+    Returns
+    -------
+    list of float
+        Seconds since the third end.
+    """
+    if len(ends_s) < _MOST_REQUEST_ENDS:
+        return []
+    third_s = sorted(ends_s)[_MOST_REQUEST_ENDS - 1]
+    return [at - third_s for at in sorted(arrivals_s) if at > third_s]
+
+
 class CrashSoak:
     """
     Runs one seed.
@@ -139,6 +176,7 @@
         answered = []
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._burst_until, self._seconds)
+            nursery.start_soon(self._send_harmful_requests)
             for _ in range(round(self._seconds * _FAULTS_A_SECOND)):
                 at_s = self._rng.uniform(0, self._seconds)
                 nursery.start_soon(self._apply_at, at_s, self._draw())
@@ -189,6 +227,26 @@
         await trio.sleep(after_s)
         await self._ask([*self._rng.sample(_SHARED_PARTS, 2), HARMFUL])
 
+    async def _send_harmful_requests(self):
+        """Send requests that end engines, each several times without patience."""
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < self._started_s + self._seconds:
+                nursery.start_soon(self._try_harmful)
+                await trio.sleep(self._rng.uniform(*_BETWEEN_REQUESTS_S))
+
+    async def _try_harmful(self):
+        self._asked += 1
+        kind = self._rng.choice(("read", "draw"))
+        events = self._rng.choice(_EVENTS_BEFORE_END) if kind == "draw" else 0
+        path = harmful_path(kind, self._asked, events)
+        parts = [*self._rng.sample(_SHARED_PARTS, 2), f"own{self._asked}"]
+        headers = self._rng.choice(([], [_prompt(parts)]))
+        pause_s = self._rng.choice(_TRY_PAUSES_S)
+        for _ in range(self._rng.randint(*_TRIES)):
+            with trio.move_on_after(_CALL_S), suppress(WireError):
+                await self._deployment.call(path, _DEADLINE_MS, headers)
+            await trio.sleep(pause_s)
+
     async def _send_sound(self, count, answered):
         async def ask():
             answered.append(await self._ask(self._rng.sample(_SHARED_PARTS, 2)))
@@ -203,8 +261,7 @@
         self._asked += 1
         kind = "read" if self._rng.random() < _READ_PART else "draw"
         path = f"/{kind}/{self._asked}"
-        prompt = ",".join(f"{part}:40" for part in [*parts, f"own{self._asked}"])
-        headers = [(HEADERS.prompt_parts, prompt)]
+        headers = [_prompt([*parts, f"own{self._asked}"])]
         with trio.move_on_after(_CALL_S):
             try:
                 status, body = await self._deployment.call(path, _DEADLINE_MS, headers)
@@ -254,4 +311,22 @@
                 faults if len(late) > _MOST_LATE else [],
             ),
             Point("a stream that ends as complete is complete", self._untrue),
+            self._check_requests(),
         ]
+
+    def _check_requests(self):
+        engines, faults, most = self._deployment.engines, [], 0
+        paths = {path for engine in engines for path in engine.request_arrivals}
+        for path in sorted(paths):
+            ends = [at for engine in engines for at in engine.request_ends[path]]
+            arrivals = [
+                at for engine in engines for at in engine.request_arrivals[path]
+            ]
+            most = max(most, len(ends))
+            for after_s in sent_on(ends, arrivals):
+                faults.append(f"{path}: {after_s:.2f} s after the third end")
+        self._note(f"{len(paths)} harmful requests, {most} ends of one at most")
+        title = (
+            f"a request is sent to no engine after it has ended {_MOST_REQUEST_ENDS}"
+        )
+        return Point(title, faults)
--- a/tools/soak/crashing_engine.py
+++ b/tools/soak/crashing_engine.py
@@ -1,5 +1,6 @@
-"""Engines that end on one part of a prompt, and answer in several ways."""
+"""Engines that end on one part of a prompt or on single requests."""
 
+from collections import defaultdict
 from contextlib import aclosing
 
 import trio
@@ -9,10 +10,11 @@
 from gooseberryyoke_platform.names import HEADERS
 from tools.soak.routed_deployment import Engine
 
-__all__ = ["HARMFUL", "CrashingEngine", "stream_body"]
+__all__ = ["HARMFUL", "CrashingEngine", "harmful_path", "stream_body"]
 
 HARMFUL = "dead"
 """The part of a prompt on which engines end."""
+_HARMFUL_NAME = "harmful"
 _READ_S = (0.05, 0.3)
 """From the arrival of a request until its engine begins to write."""
 _EVENTS = 12
@@ -27,6 +29,31 @@
 _OK = 200
 
 
+def harmful_path(kind, number, events):
+    """
+    Make the path of a request on which engines end.
+
+    Parameters
+    ----------
+    kind : str
+        Of the route.
+    number : int
+    events : int
+        That an engine gives before it ends; for plain requests 0.
+
+    Returns
+    -------
+    str
+    """
+    return f"/{kind}/{_HARMFUL_NAME}-{number}-{events}"
+
+
+def _harmful_after(path):
+    """Give the events before an engine ends on a request, None for a sound one."""
+    name, *numbers = path.rpartition("/")[2].split("-")
+    return int(numbers[-1]) if name == _HARMFUL_NAME else None
+
+
 def stream_body(path):
     """
     Give the whole stream that answers a request.
@@ -60,6 +87,8 @@
     ----------
     harmful_arrivals, harmful_ends : list of float
         When requests with `HARMFUL` arrived, and when lives ended for them.
+    request_arrivals, request_ends : dict of str to list of float
+        The same for each harmful request, by path.
     is_calm : bool
         Whether answers have chunks and are whole.
     """
@@ -68,6 +97,8 @@
         super().__init__(id, zone, address, rng)
         self.harmful_arrivals = []
         self.harmful_ends = []
+        self.request_arrivals = defaultdict(list)
+        self.request_ends = defaultdict(list)
         self.is_calm = False
         self._life = trio.CancelScope()
 
@@ -92,7 +123,12 @@
         parts = shared_parts(request.header(HEADERS.prompt_parts))
         if HARMFUL in parts:
             self.harmful_arrivals.append(trio.current_time())
-            await self._end_harmful()
+            await trio.sleep(self._rng.uniform(*_READ_S))
+            await self._end_for(self.harmful_ends)
+        harmful_after = _harmful_after(request.path)
+        if harmful_after is not None:
+            self.request_arrivals[request.path].append(trio.current_time())
+            return await self._serve_harmful(request, harmful_after)
         if request.path.startswith("/read/"):
             return await super().serve(request)
         after = int(request.header("last-event-id", 0))
@@ -106,10 +142,25 @@
         headers = [("content-type", "text/event-stream")]
         return Response(_OK, headers, events, until_close=is_unframed)
 
-    async def _end_harmful(self):
-        await trio.sleep(self._rng.uniform(*_READ_S))
+    async def _serve_harmful(self, request, events):
+        ends_s = self.request_ends[request.path]
+        if not events:
+            await trio.sleep(self._rng.uniform(*_READ_S))
+            await self._end_for(ends_s)
+        after = int(request.header("last-event-id", 0))
+        headers = [("content-type", "text/event-stream")]
+        body = self._events_before_end(request.path, after, events, ends_s)
+        return Response(_OK, headers, body)
+
+    async def _events_before_end(self, path, after, count, ends_s):
+        async with aclosing(self._events(path, after, after + count)) as events:
+            async for event in events:
+                yield event
+        await self._end_for(ends_s)
+
+    async def _end_for(self, ends_s):
         if not self._life.cancel_called:
-            self.harmful_ends.append(trio.current_time())
+            ends_s.append(trio.current_time())
             self.end()
         await trio.sleep_forever()
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -5,7 +5,7 @@
 
 from examples.demonstration.ports import Ports
 from gooseberryyoke_daemon.wire import Address
-from tools.soak.crash_soak import CrashSoak, late_arrivals
+from tools.soak.crash_soak import CrashSoak, late_arrivals, sent_on
 from tools.soak.evacuation_soak import EvacuationSoak, SentOrder, arrivals_after
 from tools.soak.faults import Kill, Roll, draw_faults
 from tools.soak.proxy import Proxy
@@ -135,10 +135,19 @@
     assert late_arrivals(ends[:4], [0.5, 20.0]) == []
 
 
+def test_arrivals_count_from_the_third_end_under_a_request():
+    # Guards against a run that holds although a request is sent on, and against one
+    # that fails for the arrivals that ended the first three engines.
+    ends = [3.0, 1.0, 2.0, 9.0]
+    assert sent_on(ends, [0.9, 1.9, 2.9, 8.5]) == [5.5]
+    assert sent_on(ends[:2], [0.9, 1.9, 8.5]) == []
+
+
 def test_a_short_run_of_harmful_prompts_with_a_fixed_seed(tmp_path):
-    # Real engines end on one part of a prompt and answer in every way there is, while
-    # gateways are killed and paused: the part reaches no more of them, sound requests
-    # are answered, and no stream ends as complete that isn't.
+    # Real engines end on one part of a prompt and on single requests, and answer in
+    # every way there is, while gateways are killed and paused: part and requests reach
+    # no more of them, sound requests are answered, and no stream ends as complete that
+    # isn't.
     soak = CrashSoak(tmp_path / "run", seed=6, seconds=5.0, known_requests=30)
     result = trio.run(soak.run)
     assert soak.harmful_ends
