Count servers that fail together once under equal requests

Ends within 0.5 s of each other count once if the request was not yet suspected when it was sent; servers that it is sent to after that all count, however soon they end. An attempt that was sent elsewhere before the news arrived counts by its time.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -247,22 +247,25 @@
             self.note_over(exchange)
 
     async def _note_broken(self, exchange, server, has_held):
+        was_suspected = exchange.is_send_counted
         # Until the check is done the attempt counts as being at its server.
         self.requests.begin_check(exchange.fingerprint, trio.current_time())
         if exchange.parts and not has_held:
-            if await self._check(exchange, server, has_held):
+            if await self._check(exchange, server, has_held, was_suspected):
                 self._note_end(exchange, server)
         else:
             # The parts don't depend on it, so that the next attempt must not wait.
-            self._checks.start_soon(self._check, exchange, server, has_held)
+            self._checks.start_soon(
+                self._check, exchange, server, has_held, was_suspected
+            )
 
-    async def _check(self, exchange, server, has_held):
+    async def _check(self, exchange, server, has_held, was_suspected):
         """Find out whether a server has ended, and count it for the request."""
         fingerprint, has_ended = exchange.fingerprint, False
         try:
             has_ended = await self._ends.has_ended(server)
             if has_ended:
-                self._note_end_under_request(exchange, server)
+                self._note_end_under_request(exchange, server, was_suspected)
         finally:
             self.requests.end_check(fingerprint)
             self._wake()
@@ -277,9 +280,10 @@
         )
         return has_ended
 
-    def _note_end_under_request(self, exchange, server):
+    def _note_end_under_request(self, exchange, server, was_suspected):
         fingerprint, now = exchange.fingerprint, trio.current_time()
-        if not self.requests.record_crash(life_of(server), fingerprint, now):
+        life = life_of(server)
+        if not self.requests.record_crash(life, fingerprint, now, was_suspected):
             return
         self._observer.server_ended_under(exchange.service)
         log_event(
@@ -288,7 +292,7 @@
             request=exchange.number,
             fingerprint=fingerprint,
             server=server.entry.id,
-            ends=len(self.requests.get(fingerprint).crashes_s),
+            ends=self.requests.get(fingerprint).crash_count(),
         )
         self.news.tell([fingerprint])
 
@@ -355,7 +359,7 @@
                 str(round(1000 * (now - at))) for at in crashes_s.values()
             ),
         )
-        detail = f"{len(crashes_s)} servers ended under {clearance.subject}"
+        detail = f"servers ended under {clearance.subject}"
         reason = _REQUEST_REASONS[clearance.kind]
         return _refusal(exchange, clearance, now, reason, detail)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
@@ -168,6 +168,26 @@
     assert run(main, gateways) == [200] * 400
 
 
+@pytest.mark.parametrize("path", [STREAM, PLAIN])
+def test_equal_requests_are_served_after_all_engines_failed_at_once(path):
+    """Each engine's end would count; the request was refused for a day."""
+
+    async def main(fleet):
+        lost, answers = [], []
+        for _ in range(4):
+            async with trio.open_nursery() as nursery:
+                for _ in range(20):
+                    nursery.start_soon(partial(fleet.ask, None, lost, path=path))
+                await trio.sleep(0.05)
+                for engine in fleet.running():
+                    fleet.crash(engine)
+            await trio.sleep(4.0)
+            await fleet.ask(None, answers, path=path)
+        return [answer.status for answer in answers]
+
+    assert run(main, gateways=4) == [200] * 4
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_engines_that_crash_for_other_reasons_have_no_request_refused(seed):
     """A sound request must not lose its tries to engines that end all the time."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
@@ -19,6 +19,11 @@
 _MAX_SERVERS = 3
 """Servers that one request may crash. With fewer, a harmless request that loses its
 server twice, to a failing rack for example, would lose its next attempt as well."""
+_SAME_CAUSE_S = 0.5
+"""Crashes closer together than this, in seconds, may have a common cause, such as the
+failure of a rack, unless the request was already suspected when it was sent."""
+_UNSUSPECTED = "~"
+"""Marks a server at which the request was before it was suspected."""
 _MAX_HISTORIES = 1024
 _RETENTION_S = 86_400.0
 _SUCCESS_RETENTION_S = 10.0
@@ -56,6 +61,27 @@
         self.next_repeat_s = inf
         self.repeat_interval_s = _FIRST_REPEAT_S
 
+    def crash_count(self):
+        """
+        Count the crashes with distinct causes.
+
+        Equal requests may be at many servers. When these fail together, the crashes
+        count once; servers that the request crashes one after the other all count.
+
+        Returns
+        -------
+        int
+        """
+        count, cause_start_s = 0, -inf
+        for incarnation, at_s in sorted(
+            self.crashes_s.items(), key=lambda each: each[1]
+        ):
+            if not incarnation.startswith(_UNSUSPECTED):
+                count += 1
+            elif at_s - cause_start_s >= _SAME_CAUSE_S:
+                count, cause_start_s = count + 1, at_s
+        return count
+
     @property
     def is_suspected(self):
         """Whether a server has crashed, or may have crashed, under the request."""
@@ -69,7 +95,7 @@
     @property
     def is_refused(self):
         """Whether the request may not be sent to any further server."""
-        return len(self.crashes_s) >= _MAX_SERVERS
+        return self.crash_count() >= _MAX_SERVERS
 
     def schedule_repeats(self, now):
         """
@@ -92,7 +118,7 @@
         """
         if not self.in_progress:
             self.repeat_interval_s *= 2
-        if len(self.crashes_s) > 1:
+        if self.crash_count() > 1:
             self.repeat_interval_s = min(self.repeat_interval_s, _MAX_REPEAT_S)
         is_over = self.repeat_interval_s > _SINGLE_CRASH_REPEAT_S
         self.next_repeat_s = inf if is_over else now + self.repeat_interval_s
@@ -182,7 +208,7 @@
             return Clearance(ClearanceKind.REFUSED, inf, fingerprint)
         deadlines_s = self._other_deadlines_s(history, now)
         in_progress = history.in_progress + len(deadlines_s)
-        if len(history.crashes_s) + in_progress < _MAX_SERVERS:
+        if history.crash_count() + in_progress < _MAX_SERVERS:
             return FREE
         until_s = min(deadlines_s, default=inf)
         return Clearance(ClearanceKind.WAIT, until_s, fingerprint)
@@ -261,7 +287,7 @@
         if not history.in_progress:
             history.trial_deadlines_s.pop(self._gateway, None)
 
-    def record_crash(self, incarnation, fingerprint, at_s):
+    def record_crash(self, incarnation, fingerprint, at_s, was_suspected=True):
         """
         Record the crash of a server that was processing a request.
 
@@ -270,6 +296,8 @@
         incarnation : str
         fingerprint : str
         at_s : float
+        was_suspected : bool
+            Whether `begin_send` had recorded the attempt.
 
         Returns
         -------
@@ -277,7 +305,8 @@
             Whether the crash is new.
         """
         history = self._get_or_create(fingerprint)
-        is_new = history.add_crash(incarnation, at_s)
+        mark = "" if was_suspected else _UNSUSPECTED
+        is_new = history.add_crash(mark + incarnation, at_s)
         if is_new:
             history.schedule_repeats(at_s)
         return is_new
@@ -316,7 +345,7 @@
 
     def _eviction_key(self, fingerprint):
         history = self._histories[fingerprint]
-        return len(history.crashes_s), history.last_activity_s
+        return history.crash_count(), history.last_activity_s
 
     def merge(
         self, fingerprint, crashes_s, last_success_s, gateway, trial_until_s, now
@@ -376,7 +405,7 @@
         due = [
             key for key, each in self._histories.items() if each.next_repeat_s <= now
         ]
-        due.sort(key=lambda key: -len(self._histories[key].crashes_s))
+        due.sort(key=lambda key: -self._histories[key].crash_count())
         for key in due[:_MAX_REPEATED]:
             history = self._histories[key]
             if history.in_progress:
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_requests.py
@@ -64,6 +64,32 @@
     assert kind(requests) is ClearanceKind.REFUSED
 
 
+def test_equal_requests_at_servers_that_fail_together_are_not_refused():
+    """A popular request would be refused for a day after a power failure."""
+    requests = RequestCrashes("g1")
+    for number in range(16):
+        requests.record_crash(f"s{number}/1", REQUEST, 10.0 + number / 50, False)
+    assert requests.get(REQUEST).crash_count() == 1
+    assert kind(requests) is ClearanceKind.FREE
+
+
+def test_servers_that_crash_soon_after_each_other_count_once_suspected():
+    """A harmful request crashes the next server within a tenth of a second."""
+    requests = RequestCrashes("g1")
+    requests.record_crash("s0/1", REQUEST, 10.0, False)
+    for number in (1, 2):
+        requests.record_crash(f"s{number}/1", REQUEST, 10.0 + number / 10)
+    assert kind(requests) is ClearanceKind.REFUSED
+
+
+def test_a_request_sent_before_the_first_crash_was_known_counts_when_later():
+    """The news of the first crash is lost on its way to the next gateway."""
+    requests = RequestCrashes("g1")
+    for number in range(3):
+        requests.record_crash(f"s{number}/1", REQUEST, 10.0 + number, False)
+    assert kind(requests) is ClearanceKind.REFUSED
+
+
 def test_requests_without_crashes_take_no_memory():
     requests = RequestCrashes("g1")
     assert not requests.begin_send(REQUEST, 1.0)
