Don't call a request not run that broke a kept connection

What callers see: a request that ends its server is answered 502 with the verdict not-run, and an entry sends it to one server after the other.

Cause: a repeatable request whose kept connection closes goes out again on a new one; that one is refused, as the server has ended, and the refusal alone was told.

The client remembers that the first connection may have carried it.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -291,17 +291,25 @@
 class _Attempt:
     """One call of `HttpClient.open` up to the head of the reply."""
 
-    __slots__ = ("_client", "_address", "_request", "_repeatable", "channel")
+    __slots__ = (
+        "_client",
+        "_address",
+        "_request",
+        "_repeatable",
+        "_may_have_run",
+        "channel",
+    )
 
     def __init__(self, client, address, request, repeatable):
         self._client = client
         self._address = address
         self._request = request
         self._repeatable = repeatable
+        self._may_have_run = False
         self.channel = None
 
     def timed_out(self, timeout_s):
-        if self.channel is None:
+        if self.channel is None and not self._may_have_run:
             detail = f"no connection within {timeout_s:g} s"
             return ConnectFailed(self._address, detail)
         return ExchangeBroken(self._address, f"no reply within {timeout_s:g} s")
@@ -314,11 +322,21 @@
             unread = self.channel.early_bytes == 0
             if not (is_kept and self._repeatable and unread):
                 raise
+            self._may_have_run = True
         else:
             if not (is_kept and _was_closing(reply)):
                 return reply
         await self._drop()
-        return await self.run(fresh=True)
+        return await self._run_again()
+
+    async def _run_again(self):
+        try:
+            return await self.run(fresh=True)
+        except ConnectFailed as exc:
+            if not self._may_have_run:
+                raise
+            detail = "kept connection lost, and no new one"
+            raise ExchangeBroken(self._address, detail) from exc
 
     async def _drop(self):
         channel, self.channel = self.channel, None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_wire_exchange.py
@@ -276,6 +276,35 @@
     run(main)
 
 
+def test_a_request_that_ended_its_server_on_a_kept_connection_may_have_run():
+    """Sent again, it met a closed port, and was said not to have run."""
+
+    async def main():
+        network = MemoryNetwork(latency_s=0.001)
+        async with trio.open_nursery() as nursery:
+            client = HttpClient(network)
+            scope = trio.CancelScope()
+
+            async def handle(request):
+                if request.target == "/end":
+                    scope.cancel()
+                    await trio.sleep_forever()
+                return await echo(request)
+
+            async def serve(task_status):
+                listeners = await network.listen(SERVER)
+                with scope:
+                    await HttpServer(handle).run(listeners, task_status=task_status)
+
+            await nursery.start(serve)
+            await client.json("GET", SERVER, "/")
+            with pytest.raises(ExchangeBroken):
+                await client.json("POST", SERVER, "/end", {}, repeatable=True)
+            nursery.cancel_scope.cancel()
+
+    run(main)
+
+
 def test_draining_closes_after_the_exchange_and_accepts_until_told():
     async def main():
         network = MemoryNetwork()
