Count servers that restart unannounced, and let others try suspected parts first

- A server that had ended came back and was reached before it announced its new life; its second end had the name of the first one and did not count.
The logs show one server twice under the request.
Lives get a suffix after a known end, at the gateway that saw it and in the request's own count.
- A request that is harmful by itself was the trial of its sound parts, which were then refused for 30 s.
Requests that lost a server wait 0.3 s longer, so that others prove the parts.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -37,6 +37,33 @@
 }
 
 
+class _BrokenAttempt:
+    """
+    What is to be known of an attempt once its exchange has gone on.
+
+    Attributes
+    ----------
+    server : Server
+    sent_s : float
+        On trio's clock.
+    has_held : bool
+        Its answer had given events for a while.
+    events : int
+        Of the stream until then.
+    was_suspected : bool
+        A server had ended under the same request before.
+    """
+
+    __slots__ = ("server", "sent_s", "has_held", "events", "was_suspected")
+
+    def __init__(self, exchange, server, has_held):
+        self.server = server
+        self.sent_s = exchange.sent_s
+        self.has_held = has_held
+        self.events = exchange.events
+        self.was_suspected = exchange.is_send_counted
+
+
 class Quarantine:
     """
     Decides before each attempt whether a request may be sent.
@@ -98,9 +125,10 @@
         return await proceed()
 
     def _clearance(self, exchange, now):
-        of_parts = self.suspects.clearance(exchange.parts, now)
         if not self.requests:
-            return of_parts
+            return self.suspects.clearance(exchange.parts, now)
+        is_suspected = self.requests.is_suspected(exchange.fingerprint)
+        of_parts = self.suspects.clearance(exchange.parts, now, is_suspected)
         of_request = self.requests.clearance(exchange.fingerprint, now)
         return strictest((of_request, of_parts))
 
@@ -247,25 +275,22 @@
             self.note_over(exchange)
 
     async def _note_broken(self, exchange, server, has_held):
-        was_suspected = exchange.is_send_counted
+        broken = _BrokenAttempt(exchange, server, has_held)
         # Until the check is done the attempt counts as being at its server.
         self.requests.begin_check(exchange.fingerprint, trio.current_time())
-        if exchange.parts and not has_held:
-            if await self._check(exchange, server, has_held, was_suspected):
-                self._note_end(exchange, server)
-        else:
+        if not exchange.parts or has_held:
             # The parts don't depend on it, so that the next attempt must not wait.
-            self._checks.start_soon(
-                self._check, exchange, server, has_held, was_suspected
-            )
+            self._checks.start_soon(self._check, exchange, broken)
+        elif await self._check(exchange, broken):
+            self._note_end(exchange, broken)
 
-    async def _check(self, exchange, server, has_held, was_suspected):
+    async def _check(self, exchange, broken):
         """Find out whether a server has ended, and count it for the request."""
         fingerprint, has_ended = exchange.fingerprint, False
         try:
-            has_ended = await self._ends.has_ended(server)
+            has_ended = await self._ends.has_ended(broken.server, broken.sent_s)
             if has_ended:
-                self._note_end_under_request(exchange, server, was_suspected)
+                self._note_end_under_request(exchange, broken)
         finally:
             self.requests.end_check(fingerprint)
             self._wake()
@@ -273,17 +298,17 @@
             "broken-server-asked",
             request=exchange.number,
             fingerprint=fingerprint,
-            server=server.entry.id,
+            server=broken.server.entry.id,
             has_ended=has_ended,
-            has_held=has_held,
-            events=exchange.events,
+            has_held=broken.has_held,
+            events=broken.events,
         )
         return has_ended
 
-    def _note_end_under_request(self, exchange, server, was_suspected):
+    def _note_end_under_request(self, exchange, broken):
         fingerprint, now = exchange.fingerprint, trio.current_time()
-        life = life_of(server)
-        if not self.requests.record_crash(life, fingerprint, now, was_suspected):
+        life = self._ends.life_at(broken.server, broken.sent_s)
+        if not self.requests.record_crash(life, fingerprint, now, broken.was_suspected):
             return
         self._observer.server_ended_under(exchange.service)
         log_event(
@@ -291,14 +316,15 @@
             level="warning",
             request=exchange.number,
             fingerprint=fingerprint,
-            server=server.entry.id,
+            server=broken.server.entry.id,
             ends=self.requests.get(fingerprint).crash_count(),
         )
         self.news.tell([fingerprint])
 
-    def _note_end(self, exchange, server):
+    def _note_end(self, exchange, broken):
         now = trio.current_time()
-        changed = self.suspects.record_crash(life_of(server), exchange.parts, now)
+        life = self._ends.life_at(broken.server, broken.sent_s)
+        changed = self.suspects.record_crash(life, exchange.parts, now)
         if not changed:
             return
         counts = {part: self.suspects.get(part).crash_count(now) for part in changed}
@@ -306,7 +332,7 @@
             "server-ended",
             level="warning",
             request=exchange.number,
-            server=server.entry.id,
+            server=broken.server.entry.id,
             parts=",".join(changed),
             suspected=",".join(part for part, count in counts.items() if count == 1),
             quarantined=",".join(part for part, count in counts.items() if count > 1),
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/server_ends.py
@@ -9,6 +9,8 @@
 _LOOK_AGAIN_S = 0.05
 """A process that ends may close its connections before it stops listening."""
 _MOST_KEPT = 256
+_NEXT_LIFE = "+"
+"""Appended to the name of a life for the one that follows it, if that is unknown."""
 
 
 def life_of(server):
@@ -45,20 +47,43 @@
         self._ended = OrderedDict()
         self._looks = {}
 
-    async def has_ended(self, server):
+    def life_at(self, server, sent_s):
         """
-        Tell whether a server's present life is over.
+        Name the life of a server that a request reached.
 
         Parameters
         ----------
         server : Server
+        sent_s : float
+            When the request was sent, on trio's clock.
+
+        Returns
+        -------
+        str
+            Another one than `life_of` if that life had ended before: a server that has
+            started again is reached before it has announced itself.
+        """
+        life = life_of(server)
+        while sent_s > self._ended.get(life, sent_s):
+            life += _NEXT_LIFE
+        return life
+
+    async def has_ended(self, server, sent_s):
+        """
+        Tell whether the life of a server that a request reached is over.
+
+        Parameters
+        ----------
+        server : Server
+        sent_s : float
+            When the request was sent, on trio's clock.
 
         Returns
         -------
         bool
             False also if that can't be told.
         """
-        life = life_of(server)
+        life = self.life_at(server, sent_s)
         while life not in self._ended:
             look = self._looks.get(life)
             if look is None:
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
@@ -24,6 +24,8 @@
 failure of a rack, unless the request was already suspected when it was sent."""
 _UNSUSPECTED = "~"
 """Marks a server at which the request was before it was suspected."""
+_NEXT_INCARNATION = "+"
+"""Appended to an incarnation for the unknown one that follows it."""
 _MAX_HISTORIES = 1024
 _RETENTION_S = 86_400.0
 _SUCCESS_RETENTION_S = 10.0
@@ -187,6 +189,21 @@
         """
         return sum(history.is_refused for history in self._histories.values())
 
+    def is_suspected(self, fingerprint):
+        """
+        Tell whether a server has crashed, or may have crashed, under a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+
+        Returns
+        -------
+        bool
+        """
+        history = self._histories.get(fingerprint)
+        return history is not None and history.is_suspected
+
     def clearance(self, fingerprint, now):
         """
         Decide whether a request may be sent.
@@ -305,8 +322,12 @@
             Whether the crash is new.
         """
         history = self._get_or_create(fingerprint)
-        mark = "" if was_suspected else _UNSUSPECTED
-        is_new = history.add_crash(mark + incarnation, at_s)
+        if not was_suspected:
+            incarnation = _UNSUSPECTED + incarnation
+        while was_suspected and incarnation in history.crashes_s:
+            # The server was restarted and has not announced its new incarnation yet.
+            incarnation += _NEXT_INCARNATION
+        is_new = history.add_crash(incarnation, at_s)
         if is_new:
             history.schedule_repeats(at_s)
         return is_new
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -24,6 +24,10 @@
 """Additional delay in seconds for requests with several suspected parts. Requests with
 only one of the parts are tried first: a success clears a harmless part before it can be
 blamed for a crash that another part causes."""
+_SUSPECTED_REQUEST_DELAY_S = 0.3
+"""Additional delay in seconds for requests under which a server has crashed already.
+If the request itself is harmful, as its own trial it would have harmless parts
+refused."""
 _MAX_SUCCESSES = 4096
 _MAX_SUSPICIONS = 256
 _RETENTION_S = 600.0
@@ -111,7 +115,7 @@
         counts = [suspicion.crash_count(now) for suspicion in self._suspicions.values()]
         return counts.count(1), sum(count > 1 for count in counts)
 
-    def clearance(self, parts, now):
+    def clearance(self, parts, now, is_request_suspected=False):
         """
         Decide whether a request may be sent.
 
@@ -120,6 +124,8 @@
         parts : sequence of str
             Prompt parts that the request shares with others.
         now : float
+        is_request_suspected : bool
+            Whether a server has crashed under the same request before.
 
         Returns
         -------
@@ -130,6 +136,8 @@
             return FREE
         suspected = self._suspected(parts, now)
         base_delay_s = _MULTI_PART_DELAY_S if len(suspected) > 1 else 0.0
+        if is_request_suspected:
+            base_delay_s += _SUSPECTED_REQUEST_DELAY_S
         return strictest(
             _part_clearance(part, suspicion, now, base_delay_s + self._jitter_s(part))
             for part, suspicion in suspected
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
@@ -137,3 +137,17 @@
     changed, is_behind = suspects.merge("a", {"a-0": 100.0}, -inf, "g1", None, 102.0)
     assert (changed, is_behind) == (False, True)
     assert kind(suspects, ["a"], 200.0) is FREE
+
+
+def test_a_request_that_lost_its_server_lets_others_try_its_parts_first():
+    """A request harmful by itself, as a trial, had harmless new parts refused."""
+    suspects = Suspects("g1")
+    suspects.record_crash("s1/1", ["a"], 10.0)
+    for now in (11.0 + step / 20 for step in range(30)):
+        of_others = suspects.clearance(["a"], now).kind
+        own = suspects.clearance(["a"], now, is_request_suspected=True).kind
+        if own is ClearanceKind.TRIAL:
+            break
+        assert now < 12.0
+    earlier = suspects.clearance(["a"], now - 0.25).kind
+    assert (of_others, earlier) == (ClearanceKind.TRIAL, ClearanceKind.TRIAL)
