Count the servers that end under one request at entries too

The same cause elsewhere: an entry sent a request that ends servers to as many as its bundle allows, at each try of its caller. Agents now tell a server that ended from one that broke an answer off (server-ended); entries count ends by what the request asks, tell each other with their announcements, and refuse it after three. Older entries ignore the new field, which is left out while it is empty, so that the golden file holds.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/runner.py
@@ -1,7 +1,7 @@
 """Runs an attempt at the backend server and writes its answer into the log."""
 
 from h11 import RemoteProtocolError
-from trio import move_on_after
+from trio import move_on_after, sleep
 
 from gooseberryyoke.outcome import Verdict
 from gooseberryyoke.stream.events import EventSplitter, is_event_stream
@@ -17,6 +17,8 @@
 # A backend server must not speak in the system's name: with a verdict of its own
 # beside the entry's, a caller would take the first one.
 _OWN_PREFIX = "gooseberryyoke-"
+_LOOK_AGAIN_S = 0.05
+"""A process that ends may close its connections before it stops listening."""
 
 
 class Runner:
@@ -84,9 +86,21 @@
             await self._relay(attempt)
         except WireError as exc:
             # A refused connection proves that the server never saw the request.
-            attempt.log.abort(exc.verdict, "server-failed", str(exc))
+            reason = await self._reason(exc.verdict, "server-failed")
+            attempt.log.abort(exc.verdict, reason, str(exc))
         except RemoteProtocolError as exc:
-            attempt.log.abort(Verdict.MAY_HAVE_RUN, "server-cut", str(exc))
+            reason = await self._reason(Verdict.MAY_HAVE_RUN, "server-cut")
+            attempt.log.abort(Verdict.MAY_HAVE_RUN, reason, str(exc))
+
+    async def _reason(self, verdict, reason):
+        """Tell a server that ended under an attempt from one that broke it off."""
+        if verdict is Verdict.NOT_RUN:
+            return reason
+        if not await self._client.is_refused(self._address):
+            await sleep(_LOOK_AGAIN_S)
+            if not await self._client.is_refused(self._address):
+                return reason
+        return "server-ended"
 
     async def _relay(self, attempt):
         request = attempt.order.request()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/agent/tests/test_answer_ends.py
@@ -7,6 +7,7 @@
 from gooseberryyoke_daemon.agent.attempt import Attempt, AttemptOrder
 from gooseberryyoke_daemon.agent.runner import Runner
 from gooseberryyoke_daemon.header_names import HeaderNames
+from gooseberryyoke_daemon.testing.raw_server import receive_request
 from gooseberryyoke_daemon.wire import Address, HttpClient
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
@@ -27,7 +28,8 @@
 
     async def serve(stream):
         async with stream:
-            await stream.receive_some(65536)
+            if not await receive_request(stream):
+                return
             await stream.send_all(b"HTTP/1.1 200 OK\r\n" + answer)
             if resets:
                 await trio.sleep(0.01)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/node.py
@@ -6,6 +6,7 @@
 
 from gooseberryyoke.admission import Admission
 from gooseberryyoke.balance import Fleet
+from gooseberryyoke.crash import RequestCrashes
 from gooseberryyoke.membership import Directory, EntryAnnouncement, new_incarnation
 from gooseberryyoke.retry import RetryBudget
 from gooseberryyoke_daemon.announcer import Announcer
@@ -19,6 +20,7 @@
 from gooseberryyoke_daemon.entry.claim import Claim
 from gooseberryyoke_daemon.entry.claim_support import AgentQuestions
 from gooseberryyoke_daemon.entry.classify import Classify
+from gooseberryyoke_daemon.entry.crash_limit import CrashLimit
 from gooseberryyoke_daemon.entry.dispatch import Dispatch
 from gooseberryyoke_daemon.entry.in_flight import InFlight
 from gooseberryyoke_daemon.entry.internal import EntryInternalRoutes
@@ -90,6 +92,12 @@
             self._settings.announce_interval_s,
             self._announcement,
         )
+        self._crash_limit = CrashLimit(
+            process.name,
+            RequestCrashes(process.name),
+            process.clock,
+            self._announcer.notify,
+        )
         self._server = None
 
     async def run(self, task_status=TASK_STATUS_IGNORED):
@@ -106,6 +114,7 @@
             self._entries,
             self._fleet,
             self._admission,
+            self._crash_limit,
             self._bundles.heard_of,
             self._process.clock,
         )
@@ -211,6 +220,7 @@
             ),
             Admit(self._admission, self._fleet, clock, rng),
             Retry(RetryBudget(), clock),
+            self._crash_limit,
             Choose(process.name, self._fleet, self._servers, clock, rng),
             Reserve(self._claims),
             Dispatch(link, self._fleet, self._in_flight, sizes, clock),
@@ -226,6 +236,7 @@
             self._addresses.leaving,
             self._bundle_version(),
             self._admission.usage(),
+            self._crash_limit.records(),
         )
 
     def _bundle_version(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/roster.py
@@ -17,12 +17,16 @@
     servers, entries : Directory
     fleet : Fleet
     admission : Admission
+    crash_limit : CrashLimit
     heard_of_bundle : callable
         Takes versions that agents have heard of.
     clock : Clock
     """
 
-    def __init__(self, servers, entries, fleet, admission, heard_of_bundle, clock):
+    def __init__(
+        self, servers, entries, fleet, admission, crash_limit, heard_of_bundle, clock
+    ):
+        self._crash_limit = crash_limit
         self._servers = servers
         self._entries = entries
         self._fleet = fleet
@@ -37,6 +41,7 @@
             self._admission.update_peer_usage(
                 announcement.name, announcement.usage, now
             )
+            self._crash_limit.take(announcement.name, announcement.crashes)
 
     def server_announced(self, announcement):
         """Take a `ServerAnnouncement`."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/announcement.py
@@ -14,6 +14,7 @@
 _RANDOM_BITS = 20
 _MAX_NAME_LENGTH = 255
 _MAX_MESSAGE_LENGTH = 300
+_MAX_CRASH_RECORDS = 64
 
 
 def new_incarnation(now, rng):
@@ -229,6 +230,9 @@
         Usage by the accounts there, as returned by
         `gooseberryyoke.admission.Admission.usage`, so that the share of an account is
         computed over all entries.
+    crashes : list
+        Requests under which servers have crashed, as packed by
+        `gooseberryyoke.crash.pack_record`.
     """
 
     __slots__ = (
@@ -240,6 +244,7 @@
         "leaving",
         "bundle_version",
         "usage",
+        "crashes",
     )
     FIELD_TYPES = {
         "name": str,
@@ -250,8 +255,9 @@
         "leaving": bool,
         "bundle_version": int,
         "usage": dict,
+        "crashes": list,
     }
-    FIELD_DEFAULTS = {"usage": {}}
+    FIELD_DEFAULTS = {"usage": {}, "crashes": []}
 
     def __init__(
         self,
@@ -263,7 +269,9 @@
         leaving,
         bundle_version,
         usage,
+        crashes=(),
     ):
+        self.crashes = list(crashes)
         self.name = name
         self.incarnation = incarnation
         self.sequence = sequence
@@ -273,8 +281,17 @@
         self.bundle_version = bundle_version
         self.usage = usage
 
+    def to_json(self):
+        """Encode the fields as a JSON object, without an empty list of crashes."""
+        body = self.as_dict()
+        if not self.crashes:
+            del body["crashes"]
+        return body
+
     def find_error(self):
         """Find an error in the fields of the base class or of an entry."""
         if self.bundle_version < 0:
             return f"bundle_version is {self.bundle_version}, expected 0 or more"
+        if len(self.crashes) > _MAX_CRASH_RECORDS:
+            return f"{len(self.crashes)} records of crashes"
         return super().find_error() or find_usage_error(self.usage)
