Have a trial wait where only a server with another trial has room

The logs show the trials of two parts at one engine 50 ms apart, right after it had come back.

Cause: a server counted as free for a trial if it was merely known; when none of those could be chosen, the trial went to the one that had another trial. And servers were named by their life, which some gateways had not heard of yet. Now a server has to be one that would be chosen, and is named by its address. The new test failed before.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -13,7 +13,7 @@
 )
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.gateway.crash_news import CrashNews
-from gooseberryyoke_daemon.gateway.server_ends import ServerEnds, life_of
+from gooseberryyoke_daemon.gateway.server_ends import ServerEnds
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = ["HELD_S", "Quarantine"]
@@ -23,6 +23,8 @@
 they begin to write."""
 _LONGEST_WAIT_S = 3.0
 """For a trial to show whether a request may be sent."""
+_LOOK_S = 0.05
+"""Between two looks for a server without a trial."""
 _WAIT_RETRY_S = 1.0
 _LONGEST_RETRY_S = 60.0
 _BROKEN = ("answer-cut", "no-answer")
@@ -132,15 +134,15 @@
         of_request = self.requests.clearance(exchange.fingerprint, now)
         return strictest((of_request, of_parts))
 
-    async def clear_to_send(self, exchange, servers):
+    async def clear_to_send(self, exchange, may_isolate):
         """
         Wait until a request may be sent.
 
         Parameters
         ----------
         exchange : Exchange
-        servers : callable
-            Gives the servers that it may be sent to.
+        may_isolate : callable
+            Tells whether a server without another trial can be chosen for it.
 
         Returns
         -------
@@ -152,7 +154,7 @@
             now = trio.current_time()
             clearance = self._clearance(exchange, now)
             if clearance.kind is ClearanceKind.TRIAL:
-                clearance = self._isolate(clearance, servers(), now)
+                clearance = self._isolate(clearance, may_isolate, now)
             if clearance.kind in (ClearanceKind.FREE, ClearanceKind.TRIAL):
                 self._begin_send(exchange, clearance, now)
                 return None
@@ -161,19 +163,15 @@
             with trio.move_on_at(min(clearance.until_s, give_up_s)):
                 await self._changed.wait()
 
-    def _isolate(self, clearance, servers, now):
+    def _isolate(self, clearance, may_isolate, now):
         """Have a trial wait while each server is at work on another one."""
-        untils_s = [self._trial_until_s(server, now) for server in servers]
         until_s = self._trial_servers.next_trial_s(clearance.subject)
-        if untils_s and None not in untils_s:
-            until_s = min(untils_s)
         if until_s <= now:
-            return clearance
+            if may_isolate():
+                return clearance
+            until_s = now + _LOOK_S
         return clearance.replace(kind=ClearanceKind.WAIT, until_s=until_s)
 
-    def _trial_until_s(self, server, now):
-        return self._trial_servers.trial_until_s(life_of(server), now)
-
     def is_on_trial(self, server):
         """
         Tell whether a request is at a server that may crash it.
@@ -186,7 +184,9 @@
         -------
         bool
         """
-        return self._trial_until_s(server, trio.current_time()) is not None
+        now = trio.current_time()
+        address = server.entry.address
+        return self._trial_servers.trial_until_s(address, now) is not None
 
     def note_sent(self, exchange, server):
         """
@@ -199,7 +199,8 @@
         """
         if exchange.is_on_trial or exchange.is_send_counted:
             now = trio.current_time()
-            subject = self._trial_servers.begin(life_of(server), now)
+            # Some gateways may not have heard yet that the server started anew.
+            subject = self._trial_servers.begin(server.entry.address, now)
             exchange.trial_server = subject
             self.news.tell([subject])
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -121,19 +121,24 @@
 
     async def _clear_to_send(self, exchange):
         return await self._quarantine.clear_to_send(
-            exchange, partial(self._untried, exchange)
+            exchange, partial(self._may_isolate, exchange)
         )
 
-    def _untried(self, exchange):
+    def _may_isolate(self, exchange):
+        on_trial = self._on_trial(exchange)
+        if not on_trial:
+            return True
+        return self._choose_except(exchange, exchange.tried | on_trial) is not None
+
+    def _on_trial(self, exchange):
         servers = self._servers.of_service(exchange.service)
-        return [s for s in servers if s.entry.id not in exchange.tried]
+        return {s.entry.id for s in servers if self._quarantine.is_on_trial(s)}
 
     def _choose(self, exchange):
         if exchange.is_on_trial or exchange.is_send_counted:
-            untried = self._untried(exchange)
-            on_trial = {s.entry.id for s in untried if self._quarantine.is_on_trial(s)}
-            server = self._choose_except(exchange, exchange.tried | on_trial)
-            if server is not None:
+            apart = exchange.tried | self._on_trial(exchange)
+            server = self._choose_except(exchange, apart)
+            if server is not None or exchange.is_on_trial:
                 return server
         return self._choose_except(exchange, exchange.tried)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
@@ -132,6 +132,20 @@
     assert run(main, gateways=3) <= MOST_ENDS
 
 
+def test_a_gateway_that_is_not_told_of_others_yet_counts_with_them():
+    """It refuses the news of gateways that it does not know in its first second."""
+
+    async def main(fleet):
+        request = {"own": "own", "body": HARMFUL_BODY}
+        fleet.kill_gateway("g1")
+        await fleet.start_gateway("g1", alone_for_s=1.0)
+        for gateway in ("g0", "g1"):
+            await fleet.ask_again(3, 0.05, PROMPT, gateway=gateway, **request)
+        return len(fleet.harmful_ends)
+
+    assert run(main, gateways=2) <= MOST_ENDS
+
+
 def test_copies_sent_at_once_after_an_end_end_three_engines():
     """A caller with many tries sends them at once; each was at an engine of its own."""
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -195,15 +195,17 @@
         for name in self._there:
             await self.start_gateway(name)
 
-    async def start_gateway(self, name):
+    async def start_gateway(self, name, alone_for_s=0.0):
         """
         Start a gateway that knows nothing but the engines.
 
         Parameters
         ----------
         name : str
+        alone_for_s : float
+            For which it is not told of the other gateways.
         """
-        own = self._there[name]
+        own, alone_until_s = self._there[name], trio.current_time() + alone_for_s
         host = self.network.host(Address.parse(own.internal).host)
         servers = Servers("a", Random(self.rng.getrandbits(64)), name)
         client = HttpClient(
@@ -216,7 +218,7 @@
         node = GatewayNode(_FixedTable(), servers, client, NAMES, rng)
         sharing = LoadSharing(
             lambda: own,
-            lambda: self._there,
+            lambda: self._known_to(own, alone_until_s),
             servers.peers,
             host.datagrams(Address.parse(own.internal)),
             crash_news=node.quarantine.news,
@@ -226,6 +228,10 @@
         scope = self._scopes[name] = trio.CancelScope()
         await self._nursery.start(self._run_gateway, scope, node, sharing, host, own)
 
+    def _known_to(self, own, alone_until_s):
+        is_alone = trio.current_time() < alone_until_s
+        return {own.name: own} if is_alone else self._there
+
     async def _run_gateway(self, scope, node, sharing, host, own, task_status):
         with scope:
             async with trio.open_nursery() as nursery:
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_trial_servers.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_trial_servers.py
@@ -9,7 +9,7 @@
     pack_record,
 )
 
-SERVER = "engine-z-a-1/1764800000000"
+SERVER = "10.1.0.1:80"
 
 
 def told(servers, subject, other, now):
@@ -43,7 +43,7 @@
     assert second.trial_until_s(SERVER, 13.1) is None
 
 
-def test_names_of_any_length_fit_into_a_record():
+def test_addresses_of_any_length_fit_into_a_record():
     servers = TrialServers("g1")
     subject = servers.begin("x" * 128, 10.0)
     assert is_trial_server(subject)
@@ -54,8 +54,8 @@
     servers = TrialServers("g1")
     servers.begin(SERVER, 10.0)
     for number in range(1000):
-        servers.end(servers.begin(f"s{number}/1", 10.0), 10.0)
-    assert servers.trial_until_s("s999/1", 11.0) is None
+        servers.end(servers.begin(f"10.1.0.{number}:80", 10.0), 10.0)
+    assert servers.trial_until_s("10.1.0.999:80", 11.0) is None
     assert servers.trial_until_s(SERVER, 11.0) == pytest.approx(13.0)
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/trial_servers.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/trial_servers.py
@@ -14,7 +14,7 @@
 
 _PREFIX = "server:"
 _DIGEST_BYTES = 8
-"""Of the server's incarnation, whose name may be longer than a record allows."""
+"""Of the server's address, which may be longer than a record allows."""
 _MAX_SERVERS = 256
 _NEXT_TRIAL_JITTER_S = 0.1
 """Upper bound in seconds of the delay of a trial after the end of another one. All
@@ -56,14 +56,14 @@
         self._own = {}
         self._last_end_s = -inf
 
-    def begin(self, incarnation, now):
+    def begin(self, address, now):
         """
         Record that a request is sent to a server that it may crash.
 
         Parameters
         ----------
-        incarnation : str
-            Of the server.
+        address : str
+            Of the server, in whatever incarnation.
         now : float
 
         Returns
@@ -71,7 +71,7 @@
         str
             Subject to be announced to other gateways; `end` must follow.
         """
-        subject = _subject(incarnation)
+        subject = _subject(address)
         self._own[subject] = self._own.get(subject, 0) + 1
         history = self._get_or_create(subject, now)
         history.trial_deadlines_s[self._gateway] = now + TRIAL_TIMEOUT_S
@@ -112,13 +112,13 @@
         share = crc32(f"{self._gateway}/{part}".encode()) / 2**32
         return self._last_end_s + share * _NEXT_TRIAL_JITTER_S
 
-    def trial_until_s(self, incarnation, now):
+    def trial_until_s(self, address, now):
         """
         Return the time by which the trials at a server are over.
 
         Parameters
         ----------
-        incarnation : str
+        address : str
         now : float
 
         Returns
@@ -128,7 +128,7 @@
         """
         if not self._histories:
             return None
-        history = self._histories.get(_subject(incarnation))
+        history = self._histories.get(_subject(address))
         return None if history is None else history.trial_until_s(now)
 
     def get(self, subject):
@@ -183,6 +183,6 @@
         }
 
 
-def _subject(incarnation):
-    digest = blake2b(incarnation.encode(), digest_size=_DIGEST_BYTES)
+def _subject(address):
+    digest = blake2b(address.encode(), digest_size=_DIGEST_BYTES)
     return _PREFIX + digest.hexdigest()
