--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -15,6 +15,8 @@
 """Ends after which a part is sent no more."""
 BEGUN_S = 0.05
 """After which a request is at an engine that has given no event yet."""
+ANSWER_S = 0.4
+"""Of an engine, when nothing else is at it."""
 TRIAL_S = 3.0
 TRIAL_FROM_S = 1.6
 """After an end, when each gateway's own time for a trial has come."""
@@ -158,6 +160,26 @@
     assert TRIAL_S - 0.1 < answer.took_s < TRIAL_S + 1.0
 
 
+def test_a_trial_keeps_away_from_a_server_that_others_know_by_an_older_life():
+    """A server that had just come back got two trials, and one part the other's end."""
+
+    async def main(fleet):
+        for part in ("a", "b"):
+            hold(fleet, 1, part)
+        await trio.sleep(TRIAL_FROM_S)
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, ["a"], answers, "g0")
+            await trio.sleep(BEGUN_S)
+            fleet.announce_again("g1", 0)
+            nursery.start_soon(fleet.ask, ["b"], answers, "g1")
+        return max(answers, key=lambda a: a.sent_s)
+
+    answer = run(main, gateways=2, engines=1)
+    assert answer.status == 200
+    assert answer.took_s > ANSWER_S + BEGUN_S
+
+
 def test_a_gateway_that_starts_hears_of_closed_parts():
     """It knows nothing, and its callers come back at once."""
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -289,6 +289,20 @@
         for servers in self._servers.values():
             servers.take([entry])
 
+    def announce_again(self, name, number):
+        """
+        Tell one gateway alone that an engine has started anew.
+
+        Parameters
+        ----------
+        name : str
+        number : int
+        """
+        engine = self._engines[number]
+        entry = self._entry(engine)
+        born_ms = entry.born_ms + 1
+        self._servers[name].take([entry.replace(born_ms=born_ms)])
+
     def running(self):
         """
         List the engines that run.
