--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/crash_limit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/crash_limit.py
@@ -10,6 +10,7 @@
 )
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.request_crash_log import log_ended_server, log_kept_back
 
 __all__ = ["CrashLimit"]
 
@@ -66,28 +67,14 @@
             # The attempt stands for the life of its server, which entries don't know.
             life = exchange.order.attempt
             self._crashes.record_crash(life, fingerprint, now, was_suspected)
-            log_event(
-                "request-ended-server",
-                level="warning",
-                request=exchange.number,
-                fingerprint=fingerprint,
-                server=exchange.server.name,
-                ends=self._crashes.get(fingerprint).crash_count(),
-            )
+            history = self._crashes.get(fingerprint)
+            server = exchange.server.name
+            log_ended_server(exchange.number, fingerprint, server, history)
             self._on_change()
 
     def _refusal(self, exchange, clearance):
-        crashes_s = self._crashes.get(clearance.subject).crashes_s
-        log_event(
-            "request-kept-back",
-            level="warning",
-            request=exchange.number,
-            fingerprint=clearance.subject,
-            servers=",".join(crashes_s),
-            ages_ms=",".join(
-                str(round(1000 * (self._clock.now() - at))) for at in crashes_s.values()
-            ),
-        )
+        history = self._crashes.get(clearance.subject)
+        log_kept_back(exchange.number, clearance.subject, history, self._clock.now())
         reason, retry_s = "request-suspected", _SUSPECTED_RETRY_S
         if clearance.kind is ClearanceKind.REFUSED:
             reason, retry_s = "request-quarantined", _QUARANTINED_RETRY_S
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -12,9 +12,11 @@
     strictest,
 )
 from gooseberryyoke.outcome import Refusal, Verdict
+from gooseberryyoke_daemon.gateway.broken_attempt import BrokenAttempt
 from gooseberryyoke_daemon.gateway.crash_news import CrashNews
 from gooseberryyoke_daemon.gateway.server_ends import ServerEnds
 from gooseberryyoke_daemon.logs import log_event
+from gooseberryyoke_daemon.request_crash_log import log_ended_server, log_kept_back
 
 __all__ = ["HELD_S", "Quarantine"]
 
@@ -39,33 +41,6 @@
 }
 
 
-class _BrokenAttempt:
-    """
-    What is to be known of an attempt once its exchange has gone on.
-
-    Attributes
-    ----------
-    server : Server
-    sent_s : float
-        On trio's clock.
-    has_held : bool
-        Its answer had given events for a while.
-    events : int
-        Of the stream until then.
-    was_suspected : bool
-        A server had ended under the same request before.
-    """
-
-    __slots__ = ("server", "sent_s", "has_held", "events", "was_suspected")
-
-    def __init__(self, exchange, server, has_held):
-        self.server = server
-        self.sent_s = exchange.sent_s
-        self.has_held = has_held
-        self.events = exchange.events
-        self.was_suspected = exchange.is_send_counted
-
-
 class Quarantine:
     """
     Decides before each attempt whether a request may be sent.
@@ -276,7 +251,7 @@
             self.note_over(exchange)
 
     async def _note_broken(self, exchange, server, has_held):
-        broken = _BrokenAttempt(exchange, server, has_held)
+        broken = BrokenAttempt(exchange, server, has_held)
         # Until the check is done the attempt counts as being at its server.
         self.requests.begin_check(exchange.fingerprint, trio.current_time())
         if not exchange.parts or has_held:
@@ -312,14 +287,8 @@
         if not self.requests.record_crash(life, fingerprint, now, broken.was_suspected):
             return
         self._observer.server_ended_under(exchange.service)
-        log_event(
-            "request-ended-server",
-            level="warning",
-            request=exchange.number,
-            fingerprint=fingerprint,
-            server=broken.server.entry.id,
-            ends=self.requests.get(fingerprint).crash_count(),
-        )
+        history, name = self.requests.get(fingerprint), broken.server.entry.id
+        log_ended_server(exchange.number, fingerprint, name, history)
         self.news.tell([fingerprint])
 
     def _note_end(self, exchange, broken):
@@ -375,17 +344,8 @@
             detail = f"servers ended under part {clearance.subject} of the prompt"
             reason = _PART_REASONS[clearance.kind]
             return _refusal(exchange, clearance, now, reason, detail)
-        crashes_s = self.requests.get(clearance.subject).crashes_s
-        log_event(
-            "request-kept-back",
-            level="warning",
-            request=exchange.number,
-            fingerprint=clearance.subject,
-            servers=",".join(crashes_s),
-            ages_ms=",".join(
-                str(round(1000 * (now - at))) for at in crashes_s.values()
-            ),
-        )
+        history = self.requests.get(clearance.subject)
+        log_kept_back(exchange.number, clearance.subject, history, now)
         detail = f"servers ended under {clearance.subject}"
         reason = _REQUEST_REASONS[clearance.kind]
         return _refusal(exchange, clearance, now, reason, detail)
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
@@ -8,124 +8,20 @@
 from math import inf
 
 from gooseberryyoke.crash.clearance import FREE, Clearance, ClearanceKind
-from gooseberryyoke.crash.history import (
-    TRIAL_TIMEOUT_S,
-    CrashHistory,
-    is_later_success,
-)
-
-__all__ = ["RequestCrashes", "RequestHistory"]
-
-_MAX_SERVERS = 3
-"""Servers that one request may crash. With fewer, a harmless request that loses its
-server twice, to a failing rack for example, would lose its next attempt as well."""
-_SAME_CAUSE_S = 0.5
-"""Crashes closer together than this, in seconds, may have a common cause, such as the
-failure of a rack, unless the request was already suspected when it was sent."""
-_UNSUSPECTED = "~"
-"""Marks a server at which the request was before it was suspected."""
-_NEXT_INCARNATION = "+"
-"""Appended to an incarnation for the unknown one that follows it."""
+from gooseberryyoke.crash.history import TRIAL_TIMEOUT_S, is_later_success
+from gooseberryyoke.crash.request_history import MAX_SERVERS, RequestHistory
+
+__all__ = ["RequestCrashes"]
+
 _MAX_HISTORIES = 1024
 _RETENTION_S = 86_400.0
 _SUCCESS_RETENTION_S = 10.0
 """Retention in seconds of a success, so that crashes before it, which other gateways
 still repeat, are not taken for new ones."""
-_FIRST_REPEAT_S = 1.0
-_MAX_REPEAT_S = 8.0
-_SINGLE_CRASH_REPEAT_S = 16.0
-"""Interval in seconds up to which a history with one crash is repeated. Most of them
-belong to harmless requests whose servers crashed for other reasons."""
 _MAX_REPEATED = 4
 """Histories repeated at once, so that gossip stays below 8 KB/s per gateway."""
 
 
-class RequestHistory(CrashHistory):
-    """
-    Crashes of servers that were processing one request.
-
-    Attributes
-    ----------
-    sends : int
-        Attempts of this gateway that are in progress.
-    checks : int
-        Broken attempts of this gateway whose servers are being checked for a crash.
-    next_repeat_s, repeat_interval_s : float
-        Schedule by which the history is repeated to other gateways.
-    """
-
-    __slots__ = ("sends", "checks", "next_repeat_s", "repeat_interval_s")
-
-    def __init__(self):
-        super().__init__()
-        self.sends = 0
-        self.checks = 0
-        self.next_repeat_s = inf
-        self.repeat_interval_s = _FIRST_REPEAT_S
-
-    def crash_count(self):
-        """
-        Count the crashes with distinct causes.
-
-        Equal requests may be at many servers. When these fail together, the crashes
-        count once; servers that the request crashes one after the other all count.
-
-        Returns
-        -------
-        int
-        """
-        count, cause_start_s = 0, -inf
-        for incarnation, at_s in sorted(
-            self.crashes_s.items(), key=lambda each: each[1]
-        ):
-            if not incarnation.startswith(_UNSUSPECTED):
-                count += 1
-            elif at_s - cause_start_s >= _SAME_CAUSE_S:
-                count, cause_start_s = count + 1, at_s
-        return count
-
-    @property
-    def is_suspected(self):
-        """Whether a server has crashed, or may have crashed, under the request."""
-        return bool(self.crashes_s) or self.checks > 0
-
-    @property
-    def in_progress(self):
-        """Attempts of this gateway that may still crash a server."""
-        return self.sends + self.checks
-
-    @property
-    def is_refused(self):
-        """Whether the request may not be sent to any further server."""
-        return self.crash_count() >= _MAX_SERVERS
-
-    def schedule_repeats(self, now):
-        """
-        Repeat the history often from now on, as it has changed.
-
-        Parameters
-        ----------
-        now : float
-        """
-        self.repeat_interval_s = _FIRST_REPEAT_S
-        self.next_repeat_s = now + self.repeat_interval_s
-
-    def schedule_next_repeat(self, now):
-        """
-        Repeat the history less often.
-
-        Parameters
-        ----------
-        now : float
-        """
-        if not self.in_progress:
-            self.repeat_interval_s *= 2
-        if self.crash_count() > 1:
-            self.repeat_interval_s = min(self.repeat_interval_s, _MAX_REPEAT_S)
-        is_over = self.repeat_interval_s > _SINGLE_CRASH_REPEAT_S
-        self.next_repeat_s = inf if is_over else now + self.repeat_interval_s
-
-
 class RequestCrashes:
     """
     Table of the requests under which servers have crashed.
@@ -225,7 +121,7 @@
             return Clearance(ClearanceKind.REFUSED, inf, fingerprint)
         deadlines_s = self._other_deadlines_s(history, now)
         in_progress = history.in_progress + len(deadlines_s)
-        if history.crash_count() + in_progress < _MAX_SERVERS:
+        if history.crash_count() + in_progress < MAX_SERVERS:
             return FREE
         until_s = min(deadlines_s, default=inf)
         return Clearance(ClearanceKind.WAIT, until_s, fingerprint)
@@ -322,12 +218,7 @@
             Whether the crash is new.
         """
         history = self._get_or_create(fingerprint)
-        if not was_suspected:
-            incarnation = _UNSUSPECTED + incarnation
-        while was_suspected and incarnation in history.crashes_s:
-            # The server was restarted and has not announced its new incarnation yet.
-            incarnation += _NEXT_INCARNATION
-        is_new = history.add_crash(incarnation, at_s)
+        is_new = history.add_request_crash(incarnation, at_s, was_suspected)
         if is_new:
             history.schedule_repeats(at_s)
         return is_new
