Don't repeat an attempt at an entry that its crash limit refuses

Found by reading the diff: the refusal of a request that ends servers was taken for a failed attempt, and tried again until the shared retry budget was spent. The new test failed before (two cases).

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/retry.py
@@ -10,6 +10,8 @@
 _REROUTED = frozenset(["leaving", "agent-full", "other-incarnation", "server-paused"])
 _NONE_LEFT = frozenset(["all-tried", "servers-paused"])
 _LEFT_TO_OTHERS = frozenset([CONTENDED, NO_MAJORITY, "old-bundle"])
+_KEPT_BACK = frozenset(["request-suspected", "request-quarantined"])
+"""Refusals of `CrashLimit`, which would refuse the next attempt as well."""
 
 
 class Retry:
@@ -45,7 +47,7 @@
             before = result
             if exchange.server is None or exchange.attempts >= limits.attempts:
                 return result
-            if refusal.reason in _LEFT_TO_OTHERS:
+            if refusal.reason in _LEFT_TO_OTHERS | _KEPT_BACK:
                 return result
             decision = self._decide(exchange, refusal, rerouted)
             rerouted += refusal.reason in _REROUTED
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_retry.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/tests/test_retry.py
@@ -40,3 +40,21 @@
         assert results == []
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("reason", ["request-suspected", "request-quarantined"])
+def test_a_request_that_ends_servers_is_not_tried_until_the_budget_is_spent(reason):
+    # Guards against attempts that reach no server and take the budget of the others.
+    refused = Failure(Refusal(Verdict.MAY_HAVE_RUN, 502, reason, "x", 1.0))
+    calls = []
+
+    async def proceed():
+        calls.append(1)
+        return refused
+
+    async def main():
+        result = await Retry(RetryBudget(), Clock())(exchange(), proceed)
+        assert result is refused
+        assert len(calls) == 1
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
