--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
@@ -14,10 +14,12 @@
 MOST_ENDS = 3
 """Under one request; it reaches no further engine after them."""
 PROMPT = ("first", "second1")
-STREAM, PLAIN = "/draw/x", "/read/x"
+STREAM, PLAIN, ONE_ATTEMPT = "/draw/x", "/read/x", "/book/x"
 LATE_EVENTS, LONG_STREAM = 27, 60
 """An end after 0.8 s of events, in a stream of 1.8 s."""
 EARLY_EVENTS = 7
+LOST_FOR_S = 0.15
+"""Datagrams, from the first request on; the first engine ends after 0.1 s."""
 
 
 def sound(rng):
@@ -146,6 +148,26 @@
     assert run(main, gateways=2) <= MOST_ENDS
 
 
+def test_a_try_that_outruns_the_news_of_the_one_before_counts_by_itself(monkeypatch):
+    """Its engine's end is taken for that of the first one, as they lie so close."""
+    deliver, begin_s = MemoryEndpoint.deliver, []
+
+    def lose_first(endpoint, data):
+        if not begin_s or trio.current_time() > begin_s[0] + LOST_FOR_S:
+            deliver(endpoint, data)
+
+    monkeypatch.setattr(MemoryEndpoint, "deliver", lose_first)
+
+    async def main(fleet):
+        begin_s.append(trio.current_time())
+        request = {"own": "own", "body": HARMFUL_BODY, "path": ONE_ATTEMPT}
+        for gateway in ("g0", "g1", "g0", "g1"):
+            await fleet.ask_one(None, gateway=gateway, **request)
+        return len(fleet.harmful_ends)
+
+    assert run(main, gateways=2) <= MOST_ENDS
+
+
 def test_copies_sent_at_once_after_an_end_end_three_engines():
     """A caller with many tries sends them at once; each was at an engine of its own."""
 
