Take no record of a form that ends the gateway; test ends of unread streams

What callers would see: one datagram with an empty list or an object in place of a record, by anybody who reaches the port and names a known gateway, ends the gateway. Three of seven new cases of test_only_well_formed_records_of_known_gateways_are_taken failed before.

The check of servers that end while their stream is not read had no test; it has one now, which fails without the check.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -155,7 +155,7 @@
         now = trio.current_time()
         changed, behind = False, []
         for record in records:
-            table = self._table_of(record[0])
+            table = self._table_of(_subject_of(record))
             is_new, is_behind = merge_record(table, record, gateway, now)
             changed |= is_new
             if is_behind:
@@ -168,3 +168,11 @@
     def _known_subjects(self):
         requests = self._requests.most_crashed(_MOST_REQUESTS_TOLD)
         return self._suspects.parts() + requests
+
+
+def _subject_of(record):
+    """Give the first field; raises ValueError or TypeError, as `merge_record` does."""
+    subject, *_ = record
+    if type(subject) is not str:
+        raise TypeError(f"{str(subject)[:80]!r} is no prompt part, request or server")
+    return subject
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -292,6 +292,13 @@
     ["g1", {PART: ENDS}],
     ["g1", [[PART, [], None, None]]],
     ["g1", [[PART, ENDS, -1, None]]],
+    ["g1", [[]]],
+    ["g1", [{}]],
+    ["g1", [{PART: ENDS}]],
+    ["g1", [[7, ENDS, None, None]]],
+    ["g1", [[["request:1"], ENDS, None, None]]],
+    ["g1", [["request:1", [], None, None]]],
+    ["g1", [["server:1", ENDS, None, "x"]]],
 ]
 
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_slow_readers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_slow_readers.py
@@ -4,7 +4,7 @@
 
 from gooseberryyoke.buffering import HeldBytes
 from gooseberryyoke_daemon.testing.routed import GATEWAY, NAMES, run_routed
-from gooseberryyoke_daemon.wire import ExchangeBroken, Limits, Response
+from gooseberryyoke_daemon.wire import ExchangeBroken, HttpClient, Limits, Response
 
 SIGNATURE = (NAMES.signature, "sig")
 EVENTS = ("content-type", "text/event-stream")
@@ -188,3 +188,24 @@
         assert [s.health.failures for s in session.servers.of_service("s")] == [0, 0]
 
     run_routed(main, held=held)
+
+
+def test_a_server_that_ends_while_it_is_not_read_counts_for_its_request(monkeypatch):
+    """Nobody looked: a request that ends servers came back for the next one."""
+
+    async def is_refused(client, address):
+        await trio.lowlevel.checkpoint()
+        return True
+
+    monkeypatch.setattr(HttpClient, "is_refused", is_refused)
+    held = HeldBytes(read_ahead_limit=2 * EVENT_BYTES)
+
+    async def main(session):
+        await session.add("s1", long_stream, limits=CUTS_OFF)
+        with suppress(ExchangeBroken):
+            await read_late(session, "/draw/x", 6.0)
+        requests = session.node.quarantine.requests
+        counts = [requests.get(key).crash_count() for key in requests.most_crashed(9)]
+        assert counts == [1]
+
+    run_routed(main, held=held)
