Tell in logs and metrics what was decided on a further attempt

Cause: for the incident of retries over a service's budget, logs could not tell which service a second try was for, nor whether there was none because the budget was spent. A 500 was passed on without any line then.

Change: gateway/retries.py asks the budget, logs retry-budget-spent and counts retry_decisions_total by service, cause and outcome; relay.py loses that. No decision is changed.

The tests of gateway and tools pass.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/exchange.py
@@ -47,6 +47,8 @@
         When it was sent to a server last, on trio's clock.
     verdict : Verdict
         Of all attempts so far.
+    last_failure : str or None
+        Reason of the last attempt that failed.
     longest_gap_s : float
         Between two events of a stream, as they came from servers.
     events : int
@@ -81,6 +83,7 @@
         "sends",
         "sent_s",
         "verdict",
+        "last_failure",
         "longest_gap_s",
         "events",
         "last_event_id",
@@ -113,6 +116,7 @@
         self.sends = 0
         self.sent_s = None
         self.verdict = None
+        self.last_failure = None
         self.longest_gap_s = 0.0
         self.events = 0
         self.last_event_id = None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -16,6 +16,7 @@
 from gooseberryyoke_daemon.gateway.quarantine import Quarantine
 from gooseberryyoke_daemon.gateway.read_ahead import ReadAhead
 from gooseberryyoke_daemon.gateway.relay import Relay
+from gooseberryyoke_daemon.gateway.retries import Retries
 from gooseberryyoke_daemon.gateway.stopping import Stopping
 from gooseberryyoke_daemon.gateway.warm_up import WarmUp
 from gooseberryyoke_daemon.logs import log_event
@@ -97,8 +98,8 @@
         self._watcher = watcher
         self._servers = servers
         self._names = names
-        budget = budget or RetryBudget()
         self.observer = GatewayObserver()
+        retries = Retries(budget or RetryBudget(), self.observer)
         warm_up = WarmUp(trio.current_time())
         self._admit = Admit(servers, warm_up)
         servers.shared.observer = self.observer
@@ -115,7 +116,7 @@
                 Relay(
                     servers,
                     ServerCalls(client, names),
-                    budget,
+                    retries,
                     self.observer,
                     self._admit,
                     self._read_ahead,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -76,6 +76,20 @@
         self._put("count", "verdicts_total", verdict)
         self._put("count", "refusals_total", {**labels, "reason": refusal.reason})
 
+    def retry_decided(self, service, cause, outcome):
+        """
+        Note a decision on a further attempt.
+
+        Parameters
+        ----------
+        service, cause : str
+            Of the request, and why its last attempt failed.
+        outcome : str
+            Value of the `RetryDecision`.
+        """
+        labels = {"service": service, "cause": cause, "outcome": outcome}
+        self._put("count", "retry_decisions_total", labels)
+
     def server_backoff(self, service):
         """
         Note a refusal by which a server asked for a pause.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -6,7 +6,6 @@
 from returns.result import Failure, Success
 
 from gooseberryyoke.outcome import Refusal, Verdict
-from gooseberryyoke.retry import RetryDecision
 from gooseberryyoke.routing import RouteKind
 from gooseberryyoke.stream.events import is_event_stream
 from gooseberryyoke_daemon.gateway.call import CallFailed
@@ -40,9 +39,7 @@
     ----------
     servers : Servers
     calls : ServerCalls
-    budget : RetryBudget
-        Of second attempts, which would otherwise multiply the load of servers that
-        are sick.
+    retries : Retries
     observer : GatewayObserver
     admit : Admit
         Where a request waits again that a server has turned away.
@@ -59,7 +56,7 @@
         "_awake",
         "_servers",
         "_calls",
-        "_budget",
+        "_retries",
         "_observer",
         "_quarantine",
         "_read_ahead",
@@ -69,7 +66,7 @@
         self,
         servers,
         calls,
-        budget,
+        retries,
         observer,
         admit,
         read_ahead,
@@ -83,11 +80,11 @@
         self._observer = observer
         self._servers = servers
         self._calls = calls
-        self._budget = budget
+        self._retries = retries
 
     async def __call__(self, exchange, proceed):
         """Make attempts; the last filter, so that nothing follows."""
-        self._budget.request_started()
+        self._retries.note_first(exchange)
         exchange.verdict = Verdict.NOT_RUN
         unsent = 0
         while True:
@@ -240,8 +237,9 @@
         route = exchange.route
         if not route.may_repeat or exchange.sends >= route.max_attempts:
             return False
-        other = self._choose(exchange)
-        return other is not None and self._budget.balance >= 1.0
+        if self._choose(exchange) is None:
+            return False
+        return self._retries.has_one(exchange, "server-error")
 
     async def resume(self, exchange, last_event_id):
         """
@@ -263,7 +261,7 @@
             if await self._clear_to_send(exchange) is not None:
                 return None
             server = self._choose(exchange)
-            if server is None or not self._may_try_again(exchange):
+            if server is None or not self._retries.may_try_again(exchange):
                 self._quarantine.note_over(exchange)
                 return None
             try:
@@ -289,15 +287,6 @@
         detail = f"status {status}, type {kind}: does not go on with a stream"
         raise CallFailed(Verdict.MAY_HAVE_RUN, "not-continued", detail)
 
-    def _may_try_again(self, exchange):
-        if exchange.sends >= exchange.route.max_attempts:
-            return False
-        now = trio.current_time()
-        decision = self._budget.may_retry(
-            exchange.verdict, exchange.route.may_repeat, exchange.deadline_s, 0.0, now
-        )
-        return decision is RetryDecision.RETRY
-
     async def _after(self, exchange, server, exc, unsent):
         """Decide what follows a failed attempt: None for another one."""
         await self.attempt_failed(exchange, server, exc)
@@ -305,7 +294,7 @@
             exchange.sends -= 1
             if unsent <= _REROUTES and trio.current_time() < exchange.deadline_s:
                 return None
-        elif self._may_try_again(exchange):
+        elif self._retries.may_try_again(exchange):
             if exchange.verdict is Verdict.NOT_RUN:
                 return await self._admit.place_again(exchange)
             return None
@@ -340,6 +329,7 @@
 
     def _note_broken(self, exchange, server, exc):
         exchange.verdict = exchange.verdict.then(exc.verdict)
+        exchange.last_failure = exc.reason
         now = trio.current_time()
         if exc.reason in _REFUSALS and server.backoff.is_on(now):
             self._observer.server_backoff(exchange.service)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -98,6 +98,11 @@
         (*CALL_LABELS, "cause"),
     ),
     Definition("retries_total", "Attempts after the first.", CALL_LABELS),
+    Definition(
+        "retry_decisions_total",
+        "Decisions on a further attempt, by what had failed and by outcome.",
+        ("service", "cause", "outcome"),
+    ),
     Definition(
         "server_backoffs_total",
         "Refusals by which a server asked this gateway for a pause.",
