--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -104,12 +104,12 @@
         with self._scopes[number]:
             await control.run(task_status=task_status)
 
-    def start_gateway(self, number, decode):
+    def start_gateway(self, number, decode, retry_ratio=0.2, retry_reserve=10):
         """Start a gateway."""
         host = f"10.7.0.{number}"
         node = NodeSettings(f"g{number}", "a", Address(host, GATEWAY_PORT), CONTACTS)
         gateway = Gateway(
-            GatewaySettings(node, Address(host, 80), 0.2, 10),
+            GatewaySettings(node, Address(host, 80), retry_ratio, retry_reserve),
             decode,
             HeaderNames(),
             self.network.host(host),
