Bound retries at a service by leased shares and sliding windows over all gateways

Cause: each gateway had a reserve of a tenth of the slack, full at each start, refilled by the requests of any service. Thirteen reserves are 1.3 times the slack; k starts in a window add k reserves; what a busy service earns was spent at a small one; how many gateways there are was what the gateway happened to be told. The class: a bound on all processes that each keeps by a part of its own, without memory of what was spent.

Change: ServiceRetryBudgets counts requests and retries of each service in sliding windows; requests earn half of the ratio; RetryShare divides the slack among the gateways listed lately, as a lease that begins a sending window after the first listing and ends a window after the last one.

Why it works: any window of arrivals lies within one window of sending, in which a gateway spends its share and what its requests earned; all that hold a share count each other.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -6,7 +6,6 @@
 from returns.result import Failure
 
 from gooseberryyoke.buffering import HeldBytes
-from gooseberryyoke.retry import RetryBudget
 from gooseberryyoke_daemon.gateway.admit import Admit
 from gooseberryyoke_daemon.gateway.call import ServerCalls
 from gooseberryyoke_daemon.gateway.evacuated import EvacuationWatch
@@ -67,7 +66,7 @@
         For servers; keeps no connections and leaves the host as it is.
     names : HeaderNames
     rng : random.Random
-    budget : RetryBudget, optional
+    budgets : ServiceRetryBudgets
     retry_digits : int
         See `problem_response`.
     awake : AwakeCheck, optional
@@ -87,7 +86,7 @@
         client,
         names,
         rng,
-        budget=None,
+        budgets,
         retry_digits=0,
         awake=None,
         held=None,
@@ -99,7 +98,7 @@
         self._servers = servers
         self._names = names
         self.observer = GatewayObserver()
-        retries = Retries(budget or RetryBudget(), self.observer)
+        retries = Retries(budgets, self.observer)
         warm_up = WarmUp(trio.current_time())
         self._admit = Admit(servers, warm_up)
         servers.shared.observer = self.observer
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/retries.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/retries.py
@@ -14,16 +14,16 @@
 
     Parameters
     ----------
-    budget : RetryBudget
-        Of second attempts, which would otherwise multiply the load of servers that
+    budgets : ServiceRetryBudgets
+        Of further attempts, which would otherwise multiply the load of servers that
         are sick.
     observer : GatewayObserver
     """
 
-    __slots__ = ("_budget", "_observer")
+    __slots__ = ("_budgets", "_observer")
 
-    def __init__(self, budget, observer):
-        self._budget = budget
+    def __init__(self, budgets, observer):
+        self._budgets = budgets
         self._observer = observer
 
     def note_first(self, exchange):
@@ -34,7 +34,7 @@
         ----------
         exchange : Exchange
         """
-        self._budget.request_started()
+        self._budgets.record_request(exchange.service, exchange.received_s)
 
     def has_one(self, exchange, cause):
         """
@@ -50,7 +50,7 @@
         -------
         bool
         """
-        if self._budget.balance >= 1.0:
+        if self._state(exchange).has_retry:
             return True
         self._note(exchange, cause, RetryDecision.BUDGET_SPENT)
         return False
@@ -70,7 +70,8 @@
         """
         if exchange.sends >= exchange.route.max_attempts:
             return False
-        decision = self._budget.may_retry(
+        decision = self._budgets.may_retry(
+            exchange.service,
             exchange.verdict,
             exchange.route.may_repeat,
             exchange.deadline_s,
@@ -84,15 +85,19 @@
         self._observer.retry_decided(exchange.service, cause, decision.value)
         if decision is not RetryDecision.BUDGET_SPENT:
             return
-        budget = self._budget
+        state = self._state(exchange)
         log_event(
             "retry-budget-spent",
             level="warning",
             request=exchange.number,
             service=exchange.service,
             cause=cause,
-            balance=round(budget.balance, 2),
-            reserve=round(budget.reserve, 2),
-            requests=budget.requests,
-            retries=budget.retries,
+            requests=state.requests,
+            retries=state.retries,
+            earned=round(state.earned, 1),
+            share=round(state.share, 1),
+            gateways=state.gateways,
         )
+
+    def _state(self, exchange):
+        return self._budgets.state(exchange.service, trio.current_time())
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -6,7 +6,7 @@
 from gooseberryyoke.contention import ContentionPolicy
 from gooseberryyoke.membership.following import FollowMajority
 from gooseberryyoke.membership.server_registry import ServerRegistry
-from gooseberryyoke.retry import RetryBudget
+from gooseberryyoke.retry import RetryShare, ServiceRetryBudgets
 from gooseberryyoke.routing.table_view import TableView
 from gooseberryyoke_daemon.control.feed import Feed
 from gooseberryyoke_daemon.control.gateway_list import ToldGateways
@@ -50,6 +50,7 @@
     Attributes
     ----------
     node : GatewayNode
+    retry_share : RetryShare
     """
 
     def __init__(self, settings, decode, names, network, rng, retry_digits=0):
@@ -76,7 +77,8 @@
             keeps_host=True,
             connect_timeout_s=_SERVER_CONNECT_S,
         )
-        self._budget = RetryBudget(settings.retry_ratio, settings.retry_reserve)
+        self.retry_share = RetryShare(settings.retry_limit)
+        self._budgets = ServiceRetryBudgets(settings.retry_limit, self.retry_share)
         self.awake = AwakeCheck(lambda: self._links.report_now())
         self.node = GatewayNode(
             self.watcher,
@@ -84,7 +86,7 @@
             server_client,
             names,
             rng,
-            self._budget,
+            self._budgets,
             retry_digits,
             self.awake,
             HeldBytes(settings.held_bytes, settings.held_bytes_per_connection),
@@ -133,10 +135,11 @@
     def _use_table(self, table):
         self.node.use_limits(table)
         self.servers.use_table(table)
+        self._budgets.use_services(table.services, trio.current_time())
 
     def _use_names(self, names):
         self.servers.cold.use_names(names)
-        self._budget.scale_reserve(len(names))
+        self.retry_share.update_gateways(names, trio.current_time())
 
     def _use_evacuation(self, state):
         self.servers.evacuate(state)
@@ -174,8 +177,11 @@
         teller : str
         entries : list of list
         """
-        self.roster.hear(teller, entries, trio.current_time())
+        now = trio.current_time()
+        self.roster.hear(teller, entries, now)
         self._known = None
+        if any(name == self.settings.name for name, *_ in entries):
+            self.retry_share.record_listed(now)
 
     def _there(self):
         # Kept, as each round and most datagrams ask for it while requests wait: it
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed_settings.py
@@ -67,9 +67,8 @@
     node : NodeSettings
     callers : Address
         Where callers connect.
-    retry_ratio, retry_reserve : float
-        Of this gateway's `RetryBudget`, which `RetryBudget.scale_reserve` lowers where
-        gateways are many.
+    retry_limit : RetryLimit
+        Of the retries at each service, over all gateways.
     contended_from : int
         Gateways from which on all services are managed for contention, and take turns
         at free places; infinite for none.
@@ -83,8 +82,7 @@
     __slots__ = (
         "node",
         "callers",
-        "retry_ratio",
-        "retry_reserve",
+        "retry_limit",
         "contended_from",
         "cold_overage",
         "cold_slack",
@@ -96,8 +94,7 @@
         self,
         node,
         callers,
-        retry_ratio,
-        retry_reserve,
+        retry_limit,
         contended_from=_CONTENDED_FROM,
         cold_overage=COLD_OVERAGE,
         cold_slack=COLD_SLACK,
@@ -111,8 +108,7 @@
         self.contended_from = contended_from
         self.node = node
         self.callers = callers
-        self.retry_ratio = retry_ratio
-        self.retry_reserve = retry_reserve
+        self.retry_limit = retry_limit
 
 
 class ControlSettings(Record):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -5,6 +5,7 @@
 import trio
 import trio.testing
 
+from gooseberryyoke.retry import RetryLimit
 from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.routed.control import Control
 from gooseberryyoke_daemon.routed.gateway import Gateway
@@ -26,6 +27,7 @@
 GATEWAY_PORT = 71
 RANK_PORT = 72
 """Each role has a port of its own, as two processes may share a machine."""
+_RETRY_LIMIT = RetryLimit()
 CONTACTS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
 
 
@@ -104,12 +106,12 @@
         with self._scopes[number]:
             await control.run(task_status=task_status)
 
-    def start_gateway(self, number, decode, retry_ratio=0.2, retry_reserve=10):
+    def start_gateway(self, number, decode, retry_limit=_RETRY_LIMIT):
         """Start a gateway."""
         host = f"10.7.0.{number}"
         node = NodeSettings(f"g{number}", "a", Address(host, GATEWAY_PORT), CONTACTS)
         gateway = Gateway(
-            GatewaySettings(node, Address(host, 80), retry_ratio, retry_reserve),
+            GatewaySettings(node, Address(host, 80), retry_limit),
             decode,
             HeaderNames(),
             self.network.host(host),
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -13,7 +13,12 @@
 from gooseberryyoke_daemon.gateway import GatewayNode
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.gateway.sharing import LoadSharing
-from gooseberryyoke_daemon.testing.routed import KEY, NAMES, sample_table
+from gooseberryyoke_daemon.testing.routed import (
+    KEY,
+    NAMES,
+    sample_table,
+    sole_budgets,
+)
 from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
 from gooseberryyoke_daemon.wire import (
     Address,
@@ -215,7 +220,7 @@
             connect_timeout_s=_CONNECT_S,
         )
         rng = Random(self.rng.getrandbits(64))
-        node = GatewayNode(_FixedTable(), servers, client, NAMES, rng)
+        node = GatewayNode(_FixedTable(), servers, client, NAMES, rng, sole_budgets())
         sharing = LoadSharing(
             lambda: own,
             lambda: self._known_to(own, alone_until_s),
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/retry_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/retry_fleet.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from gooseberryyoke.membership.server_registry import ServerEntry, ServerState
+from gooseberryyoke.retry import RetryLimit, RetryLimitCheck
 from gooseberryyoke.routing import (
     ClientAccount,
     Route,
@@ -16,7 +17,6 @@
     Split,
 )
 from gooseberryyoke_daemon.testing.control_deployment import run_controls
-from gooseberryyoke_daemon.testing.retry_bound import RetryBoundCheck
 from gooseberryyoke_daemon.testing.routed import KEY, NAMES
 from gooseberryyoke_daemon.wire import (
     Address,
@@ -51,27 +51,23 @@
     deployment : ControlDeployment
     nursery : trio.Nursery
     gateways : int
-    ratio, slack, window_s : float
-        See `RetryBoundCheck`.
+    limit : RetryLimit
     seed : int
 
     Attributes
     ----------
     failing : set of str
         Services whose servers answer 500.
-    checks : dict of str to RetryBoundCheck
+    checks : dict of str to RetryLimitCheck
         By service.
     running : dict of int to Gateway
     """
 
-    def __init__(self, deployment, nursery, gateways, ratio, slack, window_s, seed):
+    def __init__(self, deployment, nursery, gateways, limit, seed):
         self.failing = set()
         self.running = {}
-        self.checks = {
-            service: RetryBoundCheck(ratio, slack, window_s)
-            for service in (SMALL, BUSY)
-        }
-        self._limits = {"retry_ratio": ratio / 2, "retry_reserve": slack / 10}
+        self.checks = {service: RetryLimitCheck(limit) for service in (SMALL, BUSY)}
+        self._limit = limit
         self._deployment = deployment
         self._nursery = nursery
         self._count = gateways
@@ -98,7 +94,7 @@
 
         async def answer(request):
             attempt_id = request.header(NAMES.attempt_id)
-            self.checks[service].arrived(attempt_id, trio.current_time())
+            self.checks[service].record_arrival(attempt_id, trio.current_time())
             await trio.sleep(_WORK_S)
             status = 500 if service in self.failing else 200
             return Response(status, [(NAMES.attempt_id, attempt_id)], b"done")
@@ -119,7 +115,7 @@
     def start_gateway(self, number):
         """Start a gateway that remembers nothing."""
         self.running[number] = self._deployment.start_gateway(
-            number, _decode, **self._limits
+            number, _decode, self._limit
         )
 
     async def restart_gateways(self, numbers, down_s=0.2):
@@ -139,6 +135,11 @@
         for number in numbers:
             self.start_gateway(number)
 
+    def cut_off(self, number):
+        """Cut a gateway off from all control processes."""
+        for control in self._deployment.running:
+            self._deployment.network.cut(f"10.7.0.{number}", f"10.0.0.{control}")
+
     async def ask(self, service):
         """
         Send a request to any gateway, one that is down included.
@@ -157,7 +158,7 @@
         req = Request("POST", f"/{service}/x", headers, b"body")
         number = self._rng.randrange(self._count)
         caller = HttpClient(self._deployment.network.host("10.9.0.1"), keeps_host=True)
-        self.checks[service].requested(trio.current_time())
+        self.checks[service].record_request(trio.current_time())
         with suppress(WireError):
             async with caller.open(Address(f"10.7.0.{number}", 80), req) as reply:
                 await reply.read()
@@ -198,7 +199,7 @@
     return Success(RouteTable(int(text), routes, routed, accounts))
 
 
-def run_retry_fleet(main, gateways=4, ratio=0.2, slack=20, window_s=10.0, seed=0):
+def run_retry_fleet(main, gateways=4, slack=20, seed=0):
     """
     Run a test on a fleet whose gateways know each other, on a clock that jumps.
 
@@ -207,15 +208,15 @@
     main : async callable
         Takes the `RetryFleet`.
     gateways : int
-    ratio, slack, window_s : float
-        See `RetryBoundCheck`.
+    slack : float
+        See `RetryLimit`.
     seed : int
     """
 
     async def body(deployment):
         async with trio.open_nursery() as nursery:
-            bound = (ratio, slack, window_s)
-            fleet = RetryFleet(deployment, nursery, gateways, *bound, seed)
+            limit = RetryLimit(slack=slack)
+            fleet = RetryFleet(deployment, nursery, gateways, limit, seed)
             await fleet.start()
             await main(fleet)
             nursery.cancel_scope.cancel()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from gooseberryyoke.membership.server_registry import ServerEntry, ServerState
+from gooseberryyoke.retry import RetryLimit, ServiceRetryBudgets
 from gooseberryyoke.routing import (
     ClientAccount,
     Route,
@@ -31,12 +32,21 @@
 )
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["RoutedSession", "ScriptedServer", "run_routed", "sample_table"]
+__all__ = [
+    "RoutedSession",
+    "ScriptedServer",
+    "WholeShare",
+    "run_routed",
+    "sample_table",
+    "sole_budgets",
+]
 
 NAMES = HeaderNames()
 GATEWAY = Address("10.0.0.1", 80)
 KEY = "deck-key"
 _CONNECT_S = 0.5
+_RETRY_RATIO = 0.16
+_RETRY_SLACK = 3.0
 _LIMIT_S = 3600
 _REFUSALS = (429, 503)
 
@@ -128,6 +138,37 @@
         self.first_after_s = 0.0
 
 
+class WholeShare:
+    """
+    Share of a gateway that has no others; see `RetryShare`.
+
+    Parameters
+    ----------
+    slack : float
+        Retries in each window.
+    """
+
+    gateways = 1
+
+    def __init__(self, slack):
+        self._slack = slack
+
+    def retries(self, now):
+        """Give the retries in each window that the share allows."""
+        return self._slack
+
+
+def sole_budgets():
+    """
+    Make the retry budgets of a gateway without others, with little to spare.
+
+    Returns
+    -------
+    ServiceRetryBudgets
+    """
+    return ServiceRetryBudgets(RetryLimit(_RETRY_RATIO), WholeShare(_RETRY_SLACK))
+
+
 class RoutedSession:
     """
     What a test of a gateway needs at hand.
@@ -156,7 +197,7 @@
         )
         self.calls = ServerCalls(client, NAMES)
         self.node = GatewayNode(
-            self.watcher, self.servers, client, NAMES, rng, held=held
+            self.watcher, self.servers, client, NAMES, rng, sole_budgets(), held=held
         )
         self.caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
         self._nursery = nursery
--- a/packages/gooseberryyoke/src/gooseberryyoke/retry/budget.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/retry/budget.py
@@ -1,17 +1,12 @@
 """Retry budget, which limits the load caused by retries."""
 
-from gooseberryyoke.outcome import Verdict
-from gooseberryyoke.retry.decision import RetryDecision
+from gooseberryyoke.retry.decision import RetryDecision, decide_without_budget
 
 __all__ = ["RetryBudget"]
 
 RETRIES_PER_REQUEST = 0.08
 RESERVE = 3.0
 MAX_REROUTES = 3
-_MAX_FULL_RESERVES = 13
-"""Maximum number of entries with a full reserve each. If most servers refuse requests,
-all entries spend their reserves within the same seconds, and the reserves of more
-entries add up to more retries than the servers can handle."""
 
 
 class RetryBudget:
@@ -41,31 +36,15 @@
         "balance",
         "requests",
         "retries",
-        "_full_reserve",
     )
 
     def __init__(self, retries_per_request=RETRIES_PER_REQUEST, reserve=RESERVE):
         self.retries_per_request = retries_per_request
-        self._full_reserve = reserve
         self.reserve = reserve
         self.balance = reserve
         self.requests = 0
         self.retries = 0
 
-    def scale_reserve(self, entries):
-        """
-        Scale the reserve down if many entries have such a budget.
-
-        Parameters
-        ----------
-        entries : int
-            Number of entries, including this one.
-        """
-        self.reserve = self._full_reserve * min(
-            1.0, _MAX_FULL_RESERVES / max(1, entries)
-        )
-        self.balance = min(self.balance, self.reserve)
-
     def request_started(self):
         """Record the first attempt of a request."""
         self.requests += 1
@@ -77,28 +56,18 @@
 
         Parameters
         ----------
-        verdict : Verdict
-            Combined verdict on all earlier attempts.
-        repeatable : bool
-            Whether the request may safely run twice.
-        deadline_s : float
-            Time by which the answer is due, on the clock of ``now``.
-        predicted_s : float
-            Predicted duration of the next attempt in seconds, to the end of the
-            answer.
-        now : float
-            Time in seconds.
+        verdict, repeatable, deadline_s, predicted_s, now
+            See `decide_without_budget`.
 
         Returns
         -------
         RetryDecision
         """
-        if verdict is Verdict.RAN:
-            return RetryDecision.ALREADY_RAN
-        if verdict is Verdict.MAY_HAVE_RUN and not repeatable:
-            return RetryDecision.MAY_HAVE_RUN
-        if now + predicted_s > deadline_s:
-            return RetryDecision.TOO_LATE
+        decision = decide_without_budget(
+            verdict, repeatable, deadline_s, predicted_s, now
+        )
+        if decision is not RetryDecision.RETRY:
+            return decision
         if self.balance < 1.0:
             return RetryDecision.BUDGET_SPENT
         self.balance -= 1.0
--- a/packages/gooseberryyoke/src/gooseberryyoke/retry/tests/test_retry_budget.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/retry/tests/test_retry_budget.py
@@ -51,41 +51,6 @@
     assert ask(budget) is RetryDecision.BUDGET_SPENT
 
 
-@pytest.mark.parametrize(
-    "entries, requests_per_second, slack",
-    [(4, 45, 88), (13, 145, 192), (16, 133, 220), (39, 260, 440), (47, 146, 301)],
-)
-def test_retries_of_many_entries_are_bounded_in_total(
-    entries, requests_per_second, slack
-):
-    """
-    Guards against too many retries when most servers refuse requests for ten seconds.
-
-    All entries have reserves to spend. If the reserve does not depend on the number of
-    entries, 47 entries send about 1,500 retries in ten seconds. The limit is one retry
-    for every five requests, plus `slack`, which is 301 for 47 entries.
-    """
-    budgets = [RetryBudget(0.1, slack * 0.1) for _ in range(entries)]
-    requests = 10 * requests_per_second
-    retries = 0
-    for number in range(requests):
-        budget = budgets[number % entries]
-        budget.scale_reserve(entries)
-        budget.request_started()
-        while ask(budget).allowed:
-            retries += 1
-    assert retries <= 0.2 * requests + slack
-
-
-def test_reserve_is_restored_when_entries_leave():
-    """Guards against a temporarily high number of entries blocking retries for good."""
-    budget = RetryBudget(reserve=20.0)
-    budget.scale_reserve(130)
-    assert budget.balance == pytest.approx(2.0)
-    budget.scale_reserve(4)
-    assert budget.reserve == 20.0
-
-
 def test_reroutes_are_limited_and_do_not_spend_the_budget():
     budget = RetryBudget(reserve=0.0)
     decisions = [budget.may_reroute(n, 20.0, 2.0, NOW) for n in range(4)]
--- a/tools/bench/backoff.py
+++ b/tools/bench/backoff.py
@@ -13,11 +13,11 @@
     ServerState,
 )
 from gooseberryyoke.record import Record
-from gooseberryyoke.retry import RetryBudget, RetryDecision
+from gooseberryyoke.retry import RetryDecision, RetryLimit, ServiceRetryBudgets
 from gooseberryyoke_daemon.gateway import GatewayNode
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.testing.arrivals import ArrivalCheck
-from gooseberryyoke_daemon.testing.routed import KEY, NAMES, sample_table
+from gooseberryyoke_daemon.testing.routed import KEY, NAMES, WholeShare, sample_table
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -42,8 +42,8 @@
 _SICK_UNTIL_S = 10.0
 _PAUSE_S = 3.0
 _TELL_S = 0.1
-_BUDGET_RATIO = 0.08
-_BUDGET_RESERVE = 20.0
+_BUDGET_RATIO = 0.16
+_BUDGET_SHARE = 20.0
 _EVENTS = ("content-type", "text/event-stream")
 _NOT_RUN = (NAMES.not_run, "1")
 _OK = 200
@@ -51,14 +51,16 @@
 """Gateways, sick servers, and the part of requests that these turn away."""
 
 
-class FreeOfCharge(RetryBudget):
+class FreeOfCharge(ServiceRetryBudgets):
     """Does not spend the budget for requests that have not run."""
 
-    def may_retry(self, verdict, repeatable, deadline_s, predicted_s, now):
-        """See `RetryBudget.may_retry`."""
+    def may_retry(self, service, verdict, repeatable, deadline_s, predicted_s, now):
+        """See `ServiceRetryBudgets.may_retry`."""
         if verdict.value == "not-run" and now <= deadline_s:
             return RetryDecision.RETRY
-        return super().may_retry(verdict, repeatable, deadline_s, predicted_s, now)
+        return super().may_retry(
+            service, verdict, repeatable, deadline_s, predicted_s, now
+        )
 
 
 class Way(Record):
@@ -70,21 +72,21 @@
     told : str
         What gateways do with each other's pauses: ``nothing``, ``hint`` (such servers
         come last), or ``keep`` (as their own).
-    budget : type
+    budgets : type
         Of further attempts.
     """
 
-    __slots__ = ("told", "budget")
+    __slots__ = ("told", "budgets")
 
-    def __init__(self, told, budget):
+    def __init__(self, told, budgets):
         self.told = told
-        self.budget = budget
+        self.budgets = budgets
 
 
 WAYS = {
-    "not told": Way("nothing", RetryBudget),
-    "hinted": Way("hint", RetryBudget),
-    "kept by all": Way("keep", RetryBudget),
+    "not told": Way("nothing", ServiceRetryBudgets),
+    "hinted": Way("hint", ServiceRetryBudgets),
+    "kept by all": Way("keep", ServiceRetryBudgets),
     "hinted, free": Way("hint", FreeOfCharge),
 }
 
@@ -163,8 +165,9 @@
         client = HttpClient(
             network.host(self.address.host), Limits(pool_connections=0), keeps_host=True
         )
-        budget = way.budget(_BUDGET_RATIO, _BUDGET_RESERVE)
-        self.node = GatewayNode(_Table(), self.servers, client, NAMES, rng, budget)
+        limit = RetryLimit(_BUDGET_RATIO)
+        budgets = way.budgets(limit, WholeShare(_BUDGET_SHARE))
+        self.node = GatewayNode(_Table(), self.servers, client, NAMES, rng, budgets)
         self.servers.take([server.entry for server in servers])
         self.by_id = {s.entry.id: s for s in self.servers.of_service("s")}
 
