--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,7 @@
 	$(BIN)/python -m tools.soak --seeds 50
 	$(BIN)/python -m tools.soak --evacuations --seeds 20 --seconds 25
 	$(BIN)/python -m tools.soak --crashes --seeds 20 --seconds 15
+	$(BIN)/python -m tools.soak --retries --seeds 20 --seconds 30
 
 clean:
 	rm -rf $(VENV) out
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -11,25 +11,32 @@
 from examples.demonstration.processes import ROOT
 from tools.soak.crash_soak import CrashSoak
 from tools.soak.evacuation_soak import EvacuationSoak
+from tools.soak.retry_soak import RetrySoak
 from tools.soak.soak import Soak
 
 __all__ = ["main"]
 
 
-_ROUTED = {"evacuations": EvacuationSoak, "crashes": CrashSoak}
+_ROUTED = {
+    "evacuations": EvacuationSoak,
+    "crashes": CrashSoak,
+    "retries": RetrySoak,
+}
 """Soaks of the deployment of gateways, by their options."""
 
 
-def _soak(folder, seed, seconds, kind):
+def _soak(folder, seed, seconds, kind, gateways):
     if kind is None:
         return Soak(folder / str(seed), Ports(), seed, seconds)
     folder = folder / f"{kind}-{seed}"
     shutil.rmtree(folder, ignore_errors=True)
+    if kind == "retries":
+        return RetrySoak(folder, seed, seconds, gateways)
     return _ROUTED[kind](folder, seed, seconds)
 
 
-async def _run(folder, seed, seconds, kind):
-    soak = _soak(folder, seed, seconds, kind)
+async def _run(folder, seed, seconds, kind, gateways):
+    soak = _soak(folder, seed, seconds, kind, gateways)
     result = await soak.run()
     click.echo(f"seed {seed}: {'held' if result.is_good else 'FAILED'}")
     if kind is not None:
@@ -62,12 +69,19 @@
     flag_value="crashes",
     help="Send parts and requests that servers end on instead.",
 )
-def main(first, seeds, seconds, folder, kind):
+@click.option(
+    "--retries",
+    "kind",
+    flag_value="retries",
+    help="Fail requests of two services, and kill gateways in series, instead.",
+)
+@click.option("--gateways", default=3, show_default=True, help="With --retries only.")
+def main(first, seeds, seconds, folder, kind, gateways):
     """Run a deployment under random faults, and check what its callers get."""
     failed = [
         seed
         for seed in range(first, first + seeds)
-        if not trio.run(_run, folder, seed, seconds, kind)
+        if not trio.run(_run, folder, seed, seconds, kind, gateways)
     ]
     click.echo(f"{seeds} seeds, failed: {failed or 'none'}")
     sys.exit(1 if failed else 0)
--- a/tools/soak/routed_deployment.py
+++ b/tools/soak/routed_deployment.py
@@ -8,6 +8,7 @@
 import trio
 
 from examples.demonstration.processes import Processes
+from gooseberryyoke.retry import RetryLimit
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -25,7 +26,7 @@
     SETTINGS_VARIABLE,
 )
 
-__all__ = ["ZONES", "Engine", "RoutedDeployment"]
+__all__ = ["ZONES", "Engine", "RoutedDeployment", "make_document"]
 
 ZONES = ("z-a", "z-b", "z-c")
 _CONTROLS = 3
@@ -47,6 +48,7 @@
 _POLL_S = 0.1
 _OK = 200
 _KEY = "soak-key"
+_RETRY_LIMIT = RetryLimit()
 _DOCUMENT = {
     "version": 1,
     "routes": [
@@ -75,6 +77,31 @@
 }
 
 
+def make_document(services, max_attempts):
+    """
+    Make the configuration of services that are read, each on a route of its own.
+
+    Parameters
+    ----------
+    services : list of str
+    max_attempts : int
+
+    Returns
+    -------
+    dict
+    """
+    read = {**_DOCUMENT["routes"][0], "max_attempts": max_attempts}
+    routes = [
+        {**read, "name": name, "path_prefix": f"/{name}/", "service": name}
+        for name in services
+    ]
+    return {
+        **_DOCUMENT,
+        "routes": routes,
+        "services": [{"name": name} for name in services],
+    }
+
+
 class Engine:
     """
     A server that notes what arrives, and announces itself.
@@ -91,8 +118,11 @@
         On trio's clock.
     is_up : bool
         Whether it listens and announces itself.
+    service : str
     """
 
+    service = "s"
+
     def __init__(self, id, zone, address, rng):
         self.id = id
         self.zone = zone
@@ -124,7 +154,7 @@
         self._sequence += 1
         cold_s = max(0.0, self._warm_s - trio.current_time())
         return {
-            "service": "s",
+            "service": self.service,
             "address": str(self.address),
             "zone": self.zone,
             "slot_count": 8,
@@ -137,7 +167,7 @@
 
 class RoutedDeployment:
     """
-    Three control processes, three gateways, and two engines in each of three zones.
+    Three control processes, gateways, and two engines in each of three zones.
 
     Parameters
     ----------
@@ -147,6 +177,10 @@
         Of the engines and heartbeats.
     engine_type : type
         `Engine` or a class derived from it.
+    document : dict
+        The configuration.
+    gateways : int
+    retry_limit : RetryLimit
 
     Attributes
     ----------
@@ -156,12 +190,22 @@
     engines : list of Engine
     """
 
-    def __init__(self, folder, seed, engine_type=Engine):
+    def __init__(
+        self,
+        folder,
+        seed,
+        engine_type=Engine,
+        document=_DOCUMENT,
+        gateways=_GATEWAYS,
+        retry_limit=_RETRY_LIMIT,
+    ):
         folder.mkdir(parents=True)
         self.processes = Processes(folder)
         self.controls = tuple(f"control-{n}" for n in range(1, _CONTROLS + 1))
-        self.gateways = tuple(f"gateway-{n}" for n in range(1, _GATEWAYS + 1))
+        self.gateways = tuple(f"gateway-{n}" for n in range(1, gateways + 1))
         self._folder = folder
+        self._document = document
+        self._retry_limit = retry_limit
         self._rng = Random(f"{seed} deployment")
         self._client = HttpClient(TcpNetwork())
         self._caller = HttpClient(TcpNetwork(), keeps_host=True)
@@ -277,7 +321,7 @@
         return Address(host, _FRONT_PORT), request
 
     async def _put_table(self):
-        while not await self._tell(CONFIG_PUT, _DOCUMENT):
+        while not await self._tell(CONFIG_PUT, self._document):
             await trio.sleep(_POLL_S)
 
     async def _announce(self, engine):
@@ -303,9 +347,10 @@
 
     def _write_settings(self, name, is_first):
         host = self._hosts[name]
-        zone = ZONES[int(name.rpartition("-")[2]) - 1]
+        zone = ZONES[(int(name.rpartition("-")[2]) - 1) % len(ZONES)]
         listed = ", ".join(f'"{address}"' for address in self.control_addresses())
         zones = ", ".join(f'"{one}"' for one in ZONES)
+        limit = self._retry_limit
         text = f"""\
 node_name = "{name}"
 ip = "{host}"
@@ -323,8 +368,9 @@
 directory = "{host}:{_DIRECTORY_PORT}"
 [bounds]
 grace_period_s = 3
-retry_budget_ratio = 0.2
-retry_budget_slack = 50
+retry_budget_ratio = {limit.ratio}
+retry_budget_slack = {limit.slack}
+budget_window_s = {limit.window_s}
 """
         (self._folder / f"{name}.toml").write_text(text)
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -9,6 +9,7 @@
 from tools.soak.evacuation_soak import EvacuationSoak, SentOrder, arrivals_after
 from tools.soak.faults import Kill, Roll, draw_faults
 from tools.soak.proxy import Proxy
+from tools.soak.retry_soak import RetrySoak
 from tools.soak.soak import Soak
 
 ENTRIES = ["entry-1", "entry-2", "entry-3", "entry-4"]
@@ -152,3 +153,12 @@
     result = trio.run(soak.run)
     assert soak.harmful_ends
     assert [str(point) for point in result.points if point.faults] == []
+
+
+def test_a_short_run_of_failing_services_with_a_fixed_seed(tmp_path):
+    # Real gateways are killed in series while all requests to a small service fail
+    # beside a busy one: retries at each of them stay within the limit.
+    soak = RetrySoak(tmp_path / "run", seed=2, seconds=14.0)
+    result = trio.run(soak.run)
+    assert soak.retries
+    assert [str(point) for point in result.points if point.faults] == []
