Count an attempt that outran the news of an earlier crash by itself

Callers saw: a request ended a fourth engine, as two ends under its tries at two gateways lay within half a second and counted once.

Cause: ends close to each other were taken for one cause wherever the sender did not know that the request was suspected. It does not know if the news comes after it has sent.

Change: a gateway remembers when it sent its own attempts, and marks an end as one that counts by itself once it learns of an end before the sending; a second end of a server under one name too. Ends are timed by the break of the connection, not by the end of the check. Records keep their form; the mark is in the name of the server.

Conclusion: what an attempt knew is decided by times, not by the order of news.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/crash_limit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/crash_limit.py
@@ -55,10 +55,10 @@
         finally:
             if was_suspected:
                 self._crashes.end_send(fingerprint)
-        self._note(exchange, fingerprint, result, was_suspected)
+        self._note(exchange, fingerprint, result, was_suspected, now)
         return result
 
-    def _note(self, exchange, fingerprint, result, was_suspected):
+    def _note(self, exchange, fingerprint, result, was_suspected, sent_s):
         now = self._clock.now()
         if isinstance(result, Success):
             if self._crashes.record_success(fingerprint, now):
@@ -66,7 +66,7 @@
         elif result.failure().reason == _SERVER_ENDED:
             # The attempt stands for the life of its server, which entries don't know.
             life = exchange.order.attempt
-            self._crashes.record_crash(life, fingerprint, now, was_suspected)
+            self._crashes.record_crash(life, fingerprint, now, was_suspected, sent_s)
             history = self._crashes.get(fingerprint)
             server = exchange.server.name
             log_ended_server(exchange.number, fingerprint, server, history)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -282,9 +282,11 @@
         return has_ended
 
     def _note_end_under_request(self, exchange, broken):
-        fingerprint, now = exchange.fingerprint, trio.current_time()
+        fingerprint = exchange.fingerprint
         life = self._ends.life_at(broken.server, broken.sent_s)
-        if not self.requests.record_crash(life, fingerprint, now, broken.was_suspected):
+        if not self.requests.record_crash(
+            life, fingerprint, broken.broken_s, broken.was_suspected, broken.sent_s
+        ):
             return
         self._observer.server_ended_under(exchange.service)
         history, name = self.requests.get(fingerprint), broken.server.entry.id
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/request_history.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/request_history.py
@@ -13,7 +13,10 @@
 """Crashes closer together than this, in seconds, may have a common cause, such as the
 failure of a rack, unless the request was already suspected when it was sent."""
 _UNSUSPECTED = "~"
-"""Marks a server at which the request was before it was suspected."""
+"""Marks a server that a request was sent to before it was known to be suspected."""
+_OUTRAN = "!"
+"""Marks a server that a request was sent to after an earlier crash, of which the
+sender had not been told yet."""
 _NEXT_INCARNATION = "+"
 """Appended to an incarnation for the unknown one that follows it."""
 _FIRST_REPEAT_S = 1.0
@@ -37,7 +40,7 @@
         Schedule by which the history is repeated to other gateways.
     """
 
-    __slots__ = ("sends", "checks", "next_repeat_s", "repeat_interval_s")
+    __slots__ = ("sends", "checks", "next_repeat_s", "repeat_interval_s", "_sent_s")
 
     def __init__(self):
         super().__init__()
@@ -45,6 +48,8 @@
         self.checks = 0
         self.next_repeat_s = inf
         self.repeat_interval_s = _FIRST_REPEAT_S
+        # Of this gateway's own attempts that were not known to be suspected.
+        self._sent_s = {}
 
     def crash_count(self):
         """
@@ -108,7 +113,7 @@
         is_over = self.repeat_interval_s > _SINGLE_CRASH_REPEAT_S
         self.next_repeat_s = inf if is_over else now + self.repeat_interval_s
 
-    def add_request_crash(self, incarnation, at_s, was_suspected):
+    def add_request_crash(self, incarnation, at_s, was_suspected, sent_s):
         """
         Record the crash of a server that was processing the request.
 
@@ -118,6 +123,8 @@
         at_s : float
         was_suspected : bool
             Whether the request was suspected when it was sent.
+        sent_s : float
+            Time at which it was sent.
 
         Returns
         -------
@@ -125,8 +132,73 @@
             Whether the crash is new.
         """
         if not was_suspected:
-            return self.add_crash(_UNSUSPECTED + incarnation, at_s)
+            return self._add_unsuspected(incarnation, at_s, sent_s)
         while incarnation in self.crashes_s:
             # The server was restarted and has not announced its new incarnation yet.
             incarnation += _NEXT_INCARNATION
         return self.add_crash(incarnation, at_s)
+
+    def _add_unsuspected(self, incarnation, at_s, sent_s):
+        previous_s = self.crashes_s.get(_UNSUSPECTED + incarnation, inf)
+        if previous_s < sent_s:
+            return self.add_crash(_OUTRAN + incarnation, at_s)
+        is_new = self.add_crash(_UNSUSPECTED + incarnation, at_s)
+        if is_new:
+            self._sent_s[incarnation] = sent_s
+            self._mark_outran()
+        return is_new
+
+    def add_crash(self, incarnation, at_s):
+        """
+        Record a crash of this gateway or another one; see `CrashHistory.add_crash`.
+
+        Parameters
+        ----------
+        incarnation : str
+            With the mark of how the request came to it.
+        at_s : float
+
+        Returns
+        -------
+        bool
+        """
+        if incarnation.startswith(_UNSUSPECTED):
+            server = incarnation.removeprefix(_UNSUSPECTED)
+            if self._is_same(_OUTRAN + server, at_s):
+                return False
+            if at_s < self._sent_s.get(server, -inf):
+                # The server was back unannounced when this gateway sent to it.
+                self._rename_outran(server)
+        is_new = super().add_crash(incarnation, at_s)
+        if incarnation.startswith(_OUTRAN):
+            unsuspected = _UNSUSPECTED + incarnation.removeprefix(_OUTRAN)
+            if self._is_same(unsuspected, at_s):
+                del self.crashes_s[unsuspected]
+        return is_new
+
+    def _is_same(self, incarnation, at_s):
+        """Tell whether a crash is known by another mark; news of it may be late."""
+        known_s = self.crashes_s.get(incarnation, inf)
+        return abs(known_s - at_s) < _SAME_CAUSE_S
+
+    def merge(self, crashes_s, last_success_s, gateway, trial_until_s, now):
+        """See `CrashHistory.merge`."""
+        count = self.crash_count()
+        changed = super().merge(crashes_s, last_success_s, gateway, trial_until_s, now)
+        self._mark_outran()
+        return changed or self.crash_count() != count
+
+    def _mark_outran(self):
+        """Mark own crashes whose attempts were sent after another crash."""
+        for server, sent_s in list(self._sent_s.items()):
+            own = _UNSUSPECTED + server
+            if own not in self.crashes_s:
+                del self._sent_s[server]
+            elif any(at < sent_s for at in self.crashes_s.values()):
+                self._rename_outran(server)
+
+    def _rename_outran(self, server):
+        del self._sent_s[server]
+        at_s = self.crashes_s.pop(_UNSUSPECTED + server, None)
+        if at_s is not None:
+            self.crashes_s[_OUTRAN + server] = at_s
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/requests.py
@@ -200,7 +200,9 @@
         if not history.in_progress:
             history.trial_deadlines_s.pop(self._gateway, None)
 
-    def record_crash(self, incarnation, fingerprint, at_s, was_suspected=True):
+    def record_crash(
+        self, incarnation, fingerprint, at_s, was_suspected=True, sent_s=-inf
+    ):
         """
         Record the crash of a server that was processing a request.
 
@@ -211,6 +213,8 @@
         at_s : float
         was_suspected : bool
             Whether `begin_send` had recorded the attempt.
+        sent_s : float
+            Time at which the attempt was sent.
 
         Returns
         -------
@@ -218,7 +222,7 @@
             Whether the crash is new.
         """
         history = self._get_or_create(fingerprint)
-        is_new = history.add_request_crash(incarnation, at_s, was_suspected)
+        is_new = history.add_request_crash(incarnation, at_s, was_suspected, sent_s)
         if is_new:
             history.schedule_repeats(at_s)
         return is_new
@@ -293,9 +297,9 @@
         if is_unknown and not any(at_s > success_s for at_s in crashes_s.values()):
             return False, is_behind
         history = self._get_or_create(fingerprint)
-        crash_count = len(history.crashes_s)
+        known = set(history.crashes_s)
         changed = history.merge(crashes_s, success_s, gateway, trial_until_s, now)
-        if len(history.crashes_s) > crash_count:
+        if history.crashes_s.keys() - known:
             history.schedule_repeats(now)
         return changed, is_behind
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_requests.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_requests.py
@@ -218,3 +218,47 @@
     due = requests.take_due(11.0)
     assert len(due) == 4
     assert due[0] == REQUEST
+
+
+@pytest.mark.parametrize(
+    "server, after_s",
+    [("s1/1", 0.2), ("s0/1", 0.8)],
+    ids=["other server", "back unannounced"],
+)
+def test_an_attempt_that_outran_the_news_counts_by_itself(server, after_s):
+    # Guards against two crashes that count once, as they lie close to each other or the
+    # server has one name, although the second attempt was sent after the first crash.
+    first, second = RequestCrashes("g1"), RequestCrashes("g2")
+    first.record_crash("s0/1", REQUEST, 10.0, False, 9.9)
+    at_s = 10.0 + after_s
+    second.record_crash(server, REQUEST, at_s, False, at_s - 0.1)
+    told(first, second, at_s + 0.1)
+    assert second.get(REQUEST).crash_count() == 2
+    told(second, first, at_s + 0.2)
+    assert first.get(REQUEST).crash_count() == 2
+    told(first, second, at_s + 0.3)
+    told(second, first, at_s + 0.4)
+    assert first.get(REQUEST).crash_count() == second.get(REQUEST).crash_count() == 2
+
+
+def test_old_news_of_an_attempt_that_outran_others_does_not_count_it_twice():
+    # Guards against a third gateway that still repeats the crash as it was first told.
+    first, second = RequestCrashes("g1"), RequestCrashes("g2")
+    third = RequestCrashes("g3")
+    first.record_crash("s0/1", REQUEST, 10.0, False, 9.9)
+    second.record_crash("s1/1", REQUEST, 10.2, False, 10.1)
+    told(second, third, 10.25)
+    told(first, second, 10.3)
+    told(second, third, 10.4)
+    told(third, second, 10.5)
+    assert second.get(REQUEST).crash_count() == third.get(REQUEST).crash_count() == 2
+
+
+def test_attempts_that_were_at_servers_which_crash_together_count_once():
+    # Guards against a rack under equal requests that refuses them all.
+    first, second = RequestCrashes("g1"), RequestCrashes("g2")
+    first.record_crash("s0/1", REQUEST, 10.0, False, 9.9)
+    second.record_crash("s1/1", REQUEST, 10.2, False, 9.95)
+    told(first, second, 10.3)
+    told(second, first, 10.3)
+    assert first.get(REQUEST).crash_count() == second.get(REQUEST).crash_count() == 1
