Exchange crash news with gateways that are new, and tell each change twice

Callers saw: a request ended a fourth engine where a gateway had started less than a second before, or had lost a datagram.

Conclusion: starts and single losses are covered; a stopped gateway is not.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -17,6 +17,11 @@
 """Other gateways that all is repeated to each time, in turn."""
 _ASK_AFTER_S = (0.0, 0.3, 0.7, 2.0)
 """From one to the next; the others have to know of this gateway to answer it."""
+_AGAIN_S = 0.3
+"""After which a change is told a second time: datagrams may be lost, and callers come
+again before all is repeated."""
+_LOOK_S = 0.1
+"""Between two looks for gateways that are new to this one."""
 _DATAGRAM_BYTES = 1000
 """Of records; longer datagrams would be sent in parts, and be lost with any of them."""
 _MOST_REQUESTS_TOLD = 64
@@ -45,6 +50,7 @@
         "_gateway",
         "_on_change",
         "_unsent",
+        "_told_once",
         "_wanted",
         "_first",
     )
@@ -56,6 +62,7 @@
         self._gateway = gateway
         self._on_change = on_change
         self._unsent = {}
+        self._told_once = {}
         self._wanted = trio.Event()
         self._first = 0
 
@@ -85,7 +92,9 @@
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tell_changes, send, others)
+            nursery.start_soon(self._tell_changes_again, send, others)
             nursery.start_soon(self._ask, send, others)
+            nursery.start_soon(self._greet, send, others)
             while True:
                 await trio.sleep(_REPEAT_S)
                 now = trio.current_time()
@@ -100,12 +109,30 @@
             await trio.sleep(pause_s)
             await send(self._next_receivers(others()), [])
 
+    async def _greet(self, send, others):
+        """Exchange all that is known with gateways that this one is first told of."""
+        greeted = set()
+        while True:
+            new = [entry for entry in others() if entry.name not in greeted]
+            greeted.update(entry.name for entry in new)
+            if new:
+                await send(new, [])
+                await self._send(send, new, self._known_subjects())
+            await trio.sleep(_LOOK_S)
+
     async def _tell_changes(self, send, others):
         while True:
             await self._wanted.wait()
             self._wanted = trio.Event()
             subjects, self._unsent = list(self._unsent), {}
             await self._send(send, others(), subjects)
+            self._told_once.update(dict.fromkeys(subjects))
+
+    async def _tell_changes_again(self, send, others):
+        while True:
+            await trio.sleep(_AGAIN_S)
+            subjects, self._told_once = list(self._told_once), {}
+            await self._send(send, others(), subjects)
 
     def _next_receivers(self, others):
         others = sorted(others, key=lambda entry: entry.name)
