Give the three soaks of gateways one base class

Cause: run, notes, faults at times and the check of ended processes stood three times. Change: tools/soak/routed_soak.py; evacuation, crash and retry soaks derive from it. No fault, rate or check changed.

--- a/tools/soak/crash_soak.py
+++ b/tools/soak/crash_soak.py
@@ -17,9 +17,8 @@
     stream_body,
 )
 from tools.soak.faults import Kill, Pause
-from tools.soak.process_faults import ProcessFaults
 from tools.soak.routed_deployment import RoutedDeployment
-from tools.soak.soak import SoakResult
+from tools.soak.routed_soak import RoutedSoak
 
 __all__ = ["CrashSoak", "EndEngine", "late_arrivals", "sent_on"]
 
@@ -107,7 +106,7 @@
     return [at - third_s for at in sorted(arrivals_s) if at > third_s]
 
 
-class CrashSoak:
+class CrashSoak(RoutedSoak):
     """
     Runs one seed.
 
@@ -126,51 +125,21 @@
     ----------
     harmful_ends : list of float
         When engines ended for the part, once the run is over.
-    result : SoakResult
     """
 
     def __init__(self, folder, seed, seconds, known_requests=0):
+        rng = Random(f"{seed} crashes")
+        super().__init__(folder, seed, seconds, rng, _GATEWAY_REST_S)
         self.harmful_ends = []
-        self._folder = folder
-        self._seed = seed
-        self._seconds = seconds
-        self._rng = Random(f"{seed} crashes")
-        self._deployment = None
-        self._process_faults = None
-        self._started_s = 0.0
         self._asked = 0
         self._untrue = []
         self._known_requests = known_requests
-        self.result = SoakResult()
-
-    async def run(self):
-        """
-        Start all, send under faults, heal, send again, check, end all.
-
-        Returns
-        -------
-        SoakResult
-        """
-        self._deployment = RoutedDeployment(self._folder, self._seed, CrashingEngine)
-        self._process_faults = ProcessFaults(
-            self._deployment, self._note, _GATEWAY_REST_S
-        )
-        async with trio.open_nursery() as nursery:
-            try:
-                await nursery.start(self._deployment.run)
-                await self._send_sound(self._known_requests, [])
-                self._started_s = trio.current_time()
-                await self._storm()
-                await self._calm()
-                self._check()
-            finally:
-                self._deployment.processes.kill_all()
-                nursery.cancel_scope.cancel()
-        return self.result
-
-    def _note(self, text):
-        after_s = trio.current_time() - self._started_s
-        self.result.events.append(f"{after_s:6.2f} s  {text}")
+
+    def _make_deployment(self):
+        return RoutedDeployment(self._folder, self._seed, CrashingEngine)
+
+    async def _prepare(self):
+        await self._send_sound(self._known_requests, [])
 
     async def _storm(self):
         answered = []
@@ -194,10 +163,6 @@
             (Kill(name, for_s), Pause(name, for_s), EndEngine(number))
         )
 
-    async def _apply_at(self, at_s, fault):
-        await trio.sleep_until(self._started_s + at_s)
-        await self._apply(fault)
-
     @singledispatchmethod
     async def _apply(self, fault):
         raise TypeError(f"{fault!r} is no fault")
@@ -274,9 +239,6 @@
 
     async def _calm(self):
         """Send sound requests, and the part all the while, to engines that are back."""
-        ended = self._deployment.processes.ended()
-        faults = [f"{name} ended by itself" for name in ended]
-        self.result.points.append(Point("no process ends by itself", faults))
         for engine in self._deployment.engines:
             engine.is_calm = True
         await self._deployment.wait_until_ready()
--- a/tools/soak/evacuation_soak.py
+++ b/tools/soak/evacuation_soak.py
@@ -11,9 +11,8 @@
 from gooseberryyoke_client.session import Session
 from gooseberryyoke_client.transport import HttpTransport
 from tools.soak.faults import Kill, Pause, describe
-from tools.soak.process_faults import ProcessFaults
 from tools.soak.routed_deployment import ZONES, RoutedDeployment
-from tools.soak.soak import SoakResult
+from tools.soak.routed_soak import RoutedSoak
 
 __all__ = ["EvacuationSoak", "ReturnCold", "SentOrder", "arrivals_after"]
 
@@ -94,7 +93,7 @@
     return found
 
 
-class EvacuationSoak:
+class EvacuationSoak(RoutedSoak):
     """
     Runs one seed.
 
@@ -109,37 +108,11 @@
     """
 
     def __init__(self, folder, seed, seconds):
-        self._folder = folder
-        self._seed = seed
-        self._seconds = seconds
-        self._rng = Random(seed)
-        self._deployment = None
-        self._process_faults = None
-        self._started_s = 0.0
+        super().__init__(folder, seed, seconds, Random(seed))
         self.orders = []
-        self.result = SoakResult()
-
-    async def run(self):
-        """
-        Start all, order under faults, heal, send again, check, end all.
-
-        Returns
-        -------
-        SoakResult
-        """
-        self._deployment = RoutedDeployment(self._folder, self._seed)
-        self._process_faults = ProcessFaults(self._deployment, self._note)
-        async with trio.open_nursery() as nursery:
-            try:
-                await nursery.start(self._deployment.run)
-                self._started_s = trio.current_time()
-                await self._storm()
-                await self._calm()
-                self._check_arrivals()
-            finally:
-                self._deployment.processes.kill_all()
-                nursery.cancel_scope.cancel()
-        return self.result
+
+    def _make_deployment(self):
+        return RoutedDeployment(self._folder, self._seed)
 
     async def _storm(self):
         async with trio.open_nursery() as callers:
@@ -156,10 +129,6 @@
             nursery.start_soon(self._deployment.ask)
             await trio.sleep(1 / _REQUESTS_A_SECOND)
 
-    def _note(self, text):
-        after_s = trio.current_time() - self._started_s
-        self.result.events.append(f"{after_s:6.2f} s  {text}")
-
     async def _operate(self, nursery):
         end_s = self._started_s + self._seconds
         while trio.current_time() < end_s:
@@ -207,10 +176,6 @@
             (Kill(name, for_s), Pause(name, for_s), ReturnCold(self._rng.choice(ZONES)))
         )
 
-    async def _apply_at(self, at_s, fault):
-        await trio.sleep_until(self._started_s + at_s)
-        await self._apply(fault)
-
     @singledispatchmethod
     async def _apply(self, fault):
         raise TypeError(f"{fault!r} is no fault")
@@ -229,9 +194,6 @@
 
     async def _calm(self):
         """End all evacuations, and see that each data centre gets requests again."""
-        ended = self._deployment.processes.ended()
-        faults = [f"{name} ended by itself" for name in ended]
-        self.result.points.append(Point("no process ends by itself", faults))
         await self._deployment.wait_until_ready()
         faults = [
             f"{zone}: not acknowledged"
@@ -268,7 +230,7 @@
                 await trio.sleep(1 / _REQUESTS_A_SECOND)
         return sum(answers)
 
-    def _check_arrivals(self):
+    def _check(self):
         faults, latest_s = [], 0.0
         for zone in ZONES:
             engines = [one for one in self._deployment.engines if one.zone == zone]
--- a/tools/soak/retry_soak.py
+++ b/tools/soak/retry_soak.py
@@ -11,13 +11,12 @@
 from gooseberryyoke_daemon.wire import Response, WireError
 from gooseberryyoke_platform.names import HEADERS
 from tools.soak.faults import Kill, Pause
-from tools.soak.process_faults import ProcessFaults
 from tools.soak.routed_deployment import (
     Engine,
     RoutedDeployment,
     make_document,
 )
-from tools.soak.soak import SoakResult
+from tools.soak.routed_soak import RoutedSoak
 
 __all__ = ["RetrySoak"]
 
@@ -59,7 +58,7 @@
         return Response(_ERROR, [], b"") if is_failed else response
 
 
-class RetrySoak:
+class RetrySoak(RoutedSoak):
     """
     Runs one seed.
 
@@ -77,32 +76,17 @@
     ----------
     retries : int
         That reached engines, once the run is over.
-    result : SoakResult
     """
 
     def __init__(self, folder, seed, seconds, gateways=3):
+        super().__init__(folder, seed, seconds, Random(f"{seed} retries"))
         self.retries = 0
-        self._folder = folder
-        self._seed = seed
-        self._seconds = seconds
         self._gateways = gateways
-        self._rng = Random(f"{seed} retries")
         self._between_kills_s = self._rng.choice(_BETWEEN_KILLS_S)
         self._requests_s = {service: [] for service in _RATES}
-        self._deployment = None
-        self._process_faults = None
-        self._started_s = 0.0
-        self.result = SoakResult()
-
-    async def run(self):
-        """
-        Start all, send under faults, heal, send again, check, end all.
-
-        Returns
-        -------
-        SoakResult
-        """
-        self._deployment = RoutedDeployment(
+
+    def _make_deployment(self):
+        return RoutedDeployment(
             self._folder,
             self._seed,
             _FailingEngine,
@@ -110,22 +94,6 @@
             self._gateways,
             _LIMIT,
         )
-        self._process_faults = ProcessFaults(self._deployment, self._note)
-        async with trio.open_nursery() as nursery:
-            try:
-                await nursery.start(self._deployment.run)
-                self._started_s = trio.current_time()
-                await self._storm()
-                await self._calm()
-                self._check()
-            finally:
-                self._deployment.processes.kill_all()
-                nursery.cancel_scope.cancel()
-        return self.result
-
-    def _note(self, text):
-        after_s = trio.current_time() - self._started_s
-        self.result.events.append(f"{after_s:6.2f} s  {text}")
 
     def _goes_on(self):
         return trio.current_time() < self._started_s + self._seconds
@@ -169,10 +137,6 @@
         for_s = round(self._rng.uniform(0.3, _LONGEST_OUT_S), 2)
         return self._rng.choice((Kill(name, for_s), Pause(name, for_s)))
 
-    async def _apply_at(self, at_s, fault):
-        await trio.sleep_until(self._started_s + at_s)
-        await self._process_faults.apply(fault)
-
     async def _send(self, service, count, statuses):
         async with trio.open_nursery() as nursery:
             for _ in range(count):
@@ -189,9 +153,6 @@
 
     async def _calm(self):
         """Send to engines that answer all, once every gateway is back."""
-        ended = self._deployment.processes.ended()
-        faults = [f"{name} ended by itself" for name in ended]
-        self.result.points.append(Point("no process ends by itself", faults))
         self._set_failing(self._deployment.engines, 0.0)
         await self._deployment.wait_until_ready()
         statuses = []
