--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/crash_news.py
@@ -113,8 +113,9 @@
         """Exchange all that is known with gateways that this one is first told of."""
         greeted = set()
         while True:
-            new = [entry for entry in others() if entry.name not in greeted]
-            greeted.update(entry.name for entry in new)
+            known = others()
+            new = [entry for entry in known if entry.name not in greeted]
+            greeted = {entry.name for entry in known}
             if new:
                 await send(new, [])
                 await self._send(send, new, self._known_subjects())
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/request_history.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/request_history.py
@@ -17,7 +17,7 @@
 the ages in records exclude the transit time of the datagram."""
 _UNSUSPECTED = "~"
 """Marks a server that a request was sent to before it was known to be suspected."""
-_OUTRAN = "!"
+_UNINFORMED = "!"
 """Marks a server that a request was sent to after an earlier crash, of which the
 sender had not been told yet."""
 _NEXT_INCARNATION = "+"
@@ -144,11 +144,11 @@
     def _add_unsuspected(self, incarnation, at_s, sent_s):
         previous_s = self.crashes_s.get(_UNSUSPECTED + incarnation, inf)
         if previous_s < sent_s:
-            return self.add_crash(_OUTRAN + incarnation, at_s)
+            return self.add_crash(_UNINFORMED + incarnation, at_s)
         is_new = self.add_crash(_UNSUSPECTED + incarnation, at_s)
         if is_new:
             self._sent_s[incarnation] = sent_s
-            self._mark_outran()
+            self._mark_uninformed()
         return is_new
 
     def add_crash(self, incarnation, at_s):
@@ -167,14 +167,14 @@
         """
         if incarnation.startswith(_UNSUSPECTED):
             server = incarnation.removeprefix(_UNSUSPECTED)
-            if self._is_same(_OUTRAN + server, at_s):
+            if self._is_same(_UNINFORMED + server, at_s):
                 return False
             if at_s < self._sent_s.get(server, -inf):
                 # The server was back unannounced when this gateway sent to it.
-                self._rename_outran(server)
+                self._rename_uninformed(server)
         is_new = super().add_crash(incarnation, at_s)
-        if incarnation.startswith(_OUTRAN):
-            unsuspected = _UNSUSPECTED + incarnation.removeprefix(_OUTRAN)
+        if incarnation.startswith(_UNINFORMED):
+            unsuspected = _UNSUSPECTED + incarnation.removeprefix(_UNINFORMED)
             if self._is_same(unsuspected, at_s):
                 del self.crashes_s[unsuspected]
         return is_new
@@ -188,10 +188,10 @@
         """See `CrashHistory.merge`."""
         count = self.crash_count()
         changed = super().merge(crashes_s, last_success_s, gateway, trial_until_s, now)
-        self._mark_outran()
+        self._mark_uninformed()
         return changed or self.crash_count() != count
 
-    def _mark_outran(self):
+    def _mark_uninformed(self):
         """Mark own crashes whose attempts were sent after another crash."""
         for server, sent_s in list(self._sent_s.items()):
             own = _UNSUSPECTED + server
@@ -202,10 +202,10 @@
                 for incarnation, at_s in self.crashes_s.items()
                 if incarnation != own
             ):
-                self._rename_outran(server)
+                self._rename_uninformed(server)
 
-    def _rename_outran(self, server):
+    def _rename_uninformed(self, server):
         del self._sent_s[server]
         at_s = self.crashes_s.pop(_UNSUSPECTED + server, None)
         if at_s is not None:
-            self.crashes_s[_OUTRAN + server] = at_s
+            self.crashes_s[_UNINFORMED + server] = at_s
