--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -84,7 +84,7 @@
 
     async def __call__(self, exchange, proceed):
         """Make attempts; the last filter, so that nothing follows."""
-        self._retries.note_first(exchange)
+        self._retries.note_request(exchange)
         exchange.verdict = Verdict.NOT_RUN
         unsent = 0
         while True:
@@ -239,7 +239,7 @@
             return False
         if self._choose(exchange) is None:
             return False
-        return self._retries.has_one(exchange, "server-error")
+        return self._retries.has_retry(exchange, "server-error")
 
     async def resume(self, exchange, last_event_id):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/retries.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/retries.py
@@ -26,9 +26,9 @@
         self._budgets = budgets
         self._observer = observer
 
-    def note_first(self, exchange):
+    def note_request(self, exchange):
         """
-        Note that the first attempt of a request begins.
+        Note a request whose first attempt begins.
 
         Parameters
         ----------
@@ -36,7 +36,7 @@
         """
         self._budgets.record_request(exchange.service, exchange.received_s)
 
-    def has_one(self, exchange, cause):
+    def has_retry(self, exchange, cause):
         """
         Tell whether the budget has a retry for a request.
 
