Send a part that has ended two servers on trial again after three seconds

Callers saw: requests with a sound part that was new were refused for 30 s.

Cause: a part has a second end as soon as its one trial runs at a server that ends for another reason. No line tells such an end from one that the part caused.

Change: the second end counts for 3 s, not 30 s; the third one for 2 minutes, as before. A harmful part ends three servers in its first six seconds and one more after two minutes; five in all, as before.

Evidence: test_a_new_part_is_served_soon_after_its_trial_met_the_end_of_an_engine fails on the code before (503 at each gateway) and passes now. Why it works: a sound part is refused for longer only if its trials meet other causes twice, one after the other.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -180,3 +180,33 @@
     run_fleet(main, gateways=4, engines=engines, seed=seed)
     assert outcome["statuses"] == [200] * 3
     assert outcome["ends"] <= 2
+
+
+async def wait_for_trial(fleet, part):
+    suspects = fleet.nodes["g0"].quarantine.suspects
+    with trio.fail_after(3.0):
+        while suspects.get(part).trial_until_s(trio.current_time()) is None:
+            await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize("gateways", [1, 4])
+def test_a_new_part_is_served_soon_after_its_trial_met_the_end_of_an_engine(gateways):
+    """A sound part on trial where a request ends the engine was refused for 30 s."""
+    outcome = {}
+
+    async def main(fleet):
+        await fleet.ask_often(RATE, KNOWN_S, sound)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(fleet.ask, ["new", HARMFUL], [], "g0")
+            await trio.sleep(0.5)
+            nursery.start_soon(fleet.ask, ["new"], [])
+            await wait_for_trial(fleet, "new")
+            await trio.sleep(0.05)
+            for engine in fleet.running():
+                fleet.crash(engine)
+        await trio.sleep(5.0)
+        answers = [await fleet.ask_one(["new"], name) for name in fleet.nodes]
+        outcome["statuses"] = [answer.status for answer in answers]
+
+    run_fleet(main, gateways, engines=6)
+    assert outcome["statuses"] == [200] * gateways
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspicion.py
@@ -22,9 +22,10 @@
 """Maximum number of simultaneous crashes that are ignored for such a part. Beyond it,
 requests are limited to one trial at a time, because requests that arrive together crash
 many servers together."""
-_COOLDOWNS_S = (0.0, 1.0, 30.0, 120.0, 600.0)
+_COOLDOWNS_S = (0.0, 1.0, 3.0, 120.0, 600.0)
 """Cool-down in seconds from the last crash to the next trial, indexed by the number of
-crashes. With more crashes no further trial is allowed."""
+crashes. With more crashes no further trial is allowed. The second one is short because
+a single trial of a harmless part may meet a crash that another request causes."""
 
 
 class Suspicion(CrashHistory):
