Read what other gateways told during a stop before anything is sent

Cause: a gateway that was stopped and goes on had the news in its socket, and sent the requests that had gathered before it had read all of it: each datagram takes a turn of the loop, and trio gives a datagram a turn after it was taken from the socket.

A datagram is used in the turn in which it is read. The wait is asked for before each decision of the quarantine, not before the first one.

Why it works: what others told before the stop ended lies in the socket, and has been merged once that is empty.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -109,7 +109,7 @@
         of_request = self.requests.clearance(exchange.fingerprint, now)
         return strictest((of_request, of_parts))
 
-    async def clear_to_send(self, exchange, may_isolate):
+    async def clear_to_send(self, exchange, may_isolate, until_heard):
         """
         Wait until a request may be sent.
 
@@ -118,6 +118,8 @@
         exchange : Exchange
         may_isolate : callable
             Tells whether a server without another trial can be chosen for it.
+        until_heard : callable
+            Asynchronous; waits, after a stop of this process, for what it missed.
 
         Returns
         -------
@@ -126,6 +128,7 @@
         """
         give_up_s = min(exchange.deadline_s, trio.current_time() + _LONGEST_WAIT_S)
         while True:
+            await until_heard()
             now = trio.current_time()
             clearance = self._clearance(exchange, now)
             if clearance.kind is ClearanceKind.TRIAL:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -88,7 +88,6 @@
         exchange.verdict = Verdict.NOT_RUN
         unsent = 0
         while True:
-            await self._until_heard()
             refusal = await self._clear_to_send(exchange)
             if refusal is not None:
                 return Failure(refusal)
@@ -117,8 +116,9 @@
             await self._awake.until_heard()
 
     async def _clear_to_send(self, exchange):
+        may_isolate = partial(self._may_isolate, exchange)
         return await self._quarantine.clear_to_send(
-            exchange, partial(self._may_isolate, exchange)
+            exchange, may_isolate, self._until_heard
         )
 
     def _may_isolate(self, exchange):
@@ -257,7 +257,6 @@
             None if that may not be, or failed.
         """
         while True:
-            await self._until_heard()
             if await self._clear_to_send(exchange) is not None:
                 return None
             server = self._choose(exchange)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -79,7 +79,8 @@
         )
         self.retry_share = RetryShare(settings.retry_limit)
         self._budgets = ServiceRetryBudgets(settings.retry_limit, self.retry_share)
-        self.awake = AwakeCheck(lambda: self._links.report_now())
+        datagrams = network.datagrams(settings.node.internal)
+        self.awake = AwakeCheck(lambda: self._links.report_now(), datagrams.has_unread)
         self.node = GatewayNode(
             self.watcher,
             self.servers,
@@ -108,7 +109,7 @@
             self.presence,
             self._there,
             self.servers.peers,
-            network.datagrams(settings.node.internal),
+            datagrams,
             self._use_names,
             self.servers.shared.news,
             self.node.quarantine.news,
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/datagram.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/datagram.py
@@ -1,5 +1,6 @@
 """Datagrams between the system's own processes."""
 
+import select
 import socket
 
 import trio
@@ -72,8 +73,25 @@
         OSError
             Also for an earlier datagram that reached nobody.
         """
-        data, _ = await self._socket.recvfrom(_LONGEST_BYTES)
-        return data
+        await trio.lowlevel.checkpoint()
+        while True:
+            try:
+                # Returned at once, so that `has_unread` misses none that is not used.
+                return self._plain.recv(_LONGEST_BYTES)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._plain)
+
+    def has_unread(self):
+        """
+        Tell whether a datagram has arrived that `receive` has not returned.
+
+        Returns
+        -------
+        bool
+        """
+        poll = select.poll()
+        poll.register(self._plain, select.POLLIN)
+        return bool(poll.poll(0))
 
     def close(self):
         """Give the address up."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/memory.py
@@ -299,6 +299,10 @@
         """Wait for a datagram."""
         return await self._arrived.receive()
 
+    def has_unread(self):
+        """See `UdpEndpoint.has_unread`."""
+        return self._arrived.statistics().current_buffer_used > 0
+
     def close(self):
         """Give the address up."""
         self._network.endpoints.pop(self._address, None)
