Give what gateways tell of their load a module of its own

Change: Hop, LoadNews and the packing of datagrams stand in load_news.py; names lose their underscores. No behaviour changes. The golden forms of the datagrams and the tests of sharing, limits and news pass. Conclusion: no decision changes.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/sharing.py
@@ -1,12 +1,17 @@
 """Gateways tell each other how many requests they have at each server."""
 
-from enum import IntEnum
 from functools import partial
 
 import orjson
 import trio
 
 from gooseberryyoke.membership.relays import remote_receivers
+from gooseberryyoke_daemon.gateway.load_news import (
+    Hop,
+    LoadNews,
+    pack_datagrams,
+    split_words,
+)
 from gooseberryyoke_daemon.gateway.recent_gateways import RecentGateways
 from gooseberryyoke_daemon.gateway.slot_news import SlotNews
 from gooseberryyoke_daemon.logs import log_event
@@ -18,130 +23,22 @@
 """Between two datagrams. A gateway begins some ten requests a second; without news of
 the others, four gateways send to the same free place."""
 _TELL_ALL_S = 1.0
-_MOST_WORDS = 100
-"""Of servers, in one piece of news."""
 _HEARD_S = 1.2
 """A relay sends news at least each second."""
-_DATAGRAM_BYTES = 1200
-"""Longer ones would be sent in parts, and be lost with any of them."""
 _MOST_PEERS = 32
 """Beyond this many gateways of a data centre each tells only some, and the servers' own
 reports have to do for the rest."""
 _MOST_ANNOUNCED_TO = 64
 """Among more gateways nothing is announced, and reports have to do: announcements of
 all to all grow with the square of their number."""
-_MOST_SERVICES = 20
-_MOST_LEVELS = 40
-_MOST_WAITING = 100_000
-"""Bounds of what is believed of the requests that wait at another gateway."""
 _MOST_REFUSED = 100
 """Senders whose reports were refused are each logged once in a run."""
 
 
-class _Hop(IntEnum):
-    """How far a datagram has come; within a data centre each gateway tells each."""
-
-    OWN = 0
-    BETWEEN = 1
-    PASSED_ON = 2
-    ANNOUNCED = 3
-    """Counts of single servers, sent straight to all gateways; see `SlotNews`."""
-    CRASHES = 4
-    """Records of `CrashNews`, sent straight to gateways."""
-
-
-_NAMED_HOPS = (_Hop.BETWEEN, _Hop.ANNOUNCED)
+_NAMED_HOPS = (Hop.BETWEEN, Hop.ANNOUNCED)
 """Whose senders or receivers are looked up among the gateways that are there."""
 
 
-class _News:
-    """
-    What one gateway tells.
-
-    Parameters
-    ----------
-    gateway : str
-    counts : dict of str to int
-        Its requests by server.
-    is_all : bool
-        Servers that are not named have none.
-    limits : dict of str to list
-        See `Peers.told_limits`.
-    backoffs : dict of str to int
-        See `Peers.take_backoffs`.
-    waiting : dict of str to list, optional
-        By service, lists of urgency and number of requests that wait. None if nothing
-        is said of them.
-    group_limits : dict of str to list, optional
-        See `GroupLimits.new_figures`.
-
-    Attributes
-    ----------
-    waiting_counts : dict of str to dict of int to int or None
-        What ``waiting`` says, checked and unpacked; None unless it was received.
-    """
-
-    __slots__ = (
-        "gateway",
-        "counts",
-        "is_all",
-        "limits",
-        "backoffs",
-        "waiting",
-        "group_limits",
-        "waiting_counts",
-    )
-
-    def __init__(
-        self,
-        gateway,
-        counts,
-        is_all,
-        limits,
-        backoffs,
-        waiting=None,
-        group_limits=None,
-    ):
-        self.waiting = waiting
-        self.gateway = gateway
-        self.counts = counts
-        self.is_all = is_all
-        self.limits = limits
-        self.backoffs = backoffs
-        self.group_limits = group_limits or {}
-        self.waiting_counts = None
-
-    @classmethod
-    def from_json(cls, packed):
-        """Undo `packed`; raises ValueError or TypeError if it has another form."""
-        gateway, counts, is_all, limits, backoffs, *more = packed
-        waiting = more[0] if more else None
-        waiting_counts = None if waiting is None else _read_waiting(waiting)
-        group_limits = dict(more[1]) if len(more) > 1 else {}
-        words = dict(limits), dict(backoffs), waiting, group_limits
-        news = cls(str(gateway), dict(counts), bool(is_all), *words)
-        news.waiting_counts = waiting_counts
-        return news
-
-    def packed(self):
-        """Give the fields in order, without those at the end that say nothing."""
-        fields = [self.gateway, self.counts, self.is_all, self.limits, self.backoffs]
-        if self.group_limits:
-            return [*fields, self.waiting, self.group_limits]
-        return fields if self.waiting is None else [*fields, self.waiting]
-
-    def followed_by(self, later):
-        """Give what this and a later piece of news tell together."""
-        counts = later.counts if later.is_all else {**self.counts, **later.counts}
-        is_all = self.is_all or later.is_all
-        limits = {**self.limits, **later.limits}
-        backoffs = {**self.backoffs, **later.backoffs}
-        group_limits = {**self.group_limits, **later.group_limits}
-        waiting = self.waiting if later.waiting is None else later.waiting
-        words = limits, backoffs, waiting, group_limits
-        return _News(self.gateway, counts, is_all, *words)
-
-
 class LoadSharing:
     """
     Sends own counts to the other gateways and takes theirs.
@@ -210,12 +107,12 @@
     async def _announce(self, counts):
         receivers = self._others(self._there())
         if len(receivers) <= _MOST_ANNOUNCED_TO:
-            news = _News(self._presence().name, counts, False, {}, {})
-            await self._send(_Hop.ANNOUNCED, receivers, [news])
+            news = LoadNews(self._presence().name, counts, False, {}, {})
+            await self._send(Hop.ANNOUNCED, receivers, [news])
 
     async def _tell_crashes(self, receivers, records):
         own = orjson.dumps(self._presence().name)
-        data = b"[%d,%s,%s]" % (_Hop.CRASHES, own, orjson.dumps(records))
+        data = b"[%d,%s,%s]" % (Hop.CRASHES, own, orjson.dumps(records))
         for receiver in receivers:
             await self._send_to(receiver, data)
 
@@ -243,7 +140,7 @@
             near = self._near(others)
             for news in self._own_news(is_all):
                 self._gather(news)
-                await self._send(_Hop.OWN, near, [news])
+                await self._send(Hop.OWN, near, [news])
             await self._pass_far(others)
 
     def _own_news(self, is_all):
@@ -255,11 +152,11 @@
         group_limits = self._peers.group_limits.new_figures()
         waiting = self._new_waiting()
         if changed or is_all or group_limits or waiting is not None:
-            yield _News(name, changed, is_all, {}, {}, waiting, group_limits)
-        for limits in _parts(self._peers.told_limits() if is_all else {}):
-            yield _News(name, {}, False, limits, {})
-        for backoffs in _parts(self._new_backoffs(is_all)):
-            yield _News(name, {}, False, {}, backoffs)
+            yield LoadNews(name, changed, is_all, {}, {}, waiting, group_limits)
+        for limits in split_words(self._peers.told_limits() if is_all else {}):
+            yield LoadNews(name, {}, False, limits, {})
+        for backoffs in split_words(self._new_backoffs(is_all)):
+            yield LoadNews(name, {}, False, {}, backoffs)
 
     def _new_waiting(self):
         """Give who waits here, or None if nobody does and that was told before."""
@@ -314,10 +211,10 @@
         gathered, self._gathered = list(self._gathered.values()), {}
         receivers = self._far(others)
         if gathered and receivers:
-            await self._send(_Hop.BETWEEN, receivers, gathered)
+            await self._send(Hop.BETWEEN, receivers, gathered)
 
     async def _send(self, hop, receivers, news):
-        for data in _datagrams(hop, self._presence().name, news):
+        for data in pack_datagrams(hop, self._presence().name, news):
             for receiver in receivers:
                 await self._send_to(receiver, data)
 
@@ -345,19 +242,19 @@
         while True:
             try:
                 hop, sender, packed = orjson.loads(await self._endpoint.receive())
-                if hop == _Hop.CRASHES:
+                if hop == Hop.CRASHES:
                     await self._take_crashes(sender, packed)
                     continue
-                news = [_News.from_json(item) for item in packed]
+                news = [LoadNews.from_json(item) for item in packed]
                 # Asked once: it takes longer than all else in a datagram.
-                is_needed = hop in _NAMED_HOPS or any(map(_needs_sender, news))
+                is_needed = hop in _NAMED_HOPS or any(n.needs_sender for n in news)
                 there = self._there() if is_needed else {}
                 for item in news:
                     self._take(item, hop, there)
-                if hop == _Hop.BETWEEN:
+                if hop == Hop.BETWEEN:
                     self._heard_s[str(sender)] = trio.current_time()
                     near = self._near(self._others(there))
-                    await self._send(_Hop.PASSED_ON, near, news)
+                    await self._send(Hop.PASSED_ON, near, news)
             except OSError as exc:
                 # A gateway that has ended: its port answers that nobody listens.
                 log_event("share-unreceived", level="debug", why=str(exc))
@@ -365,7 +262,7 @@
                 log_event("share-unreadable", level="warning", why=str(exc)[:200])
 
     def _take(self, news, hop, there):
-        if hop == _Hop.ANNOUNCED and not self._is_other(news.gateway, there):
+        if hop == Hop.ANNOUNCED and not self._is_other(news.gateway, there):
             self._refuse(news.gateway, "announcement of an unknown gateway")
             return
         self._peers.take_shares(news.gateway, self._counts(news, hop), news.is_all)
@@ -376,14 +273,14 @@
                 self._peers.take_waiting(news.gateway, news.waiting_counts)
             else:
                 self._refuse(news.gateway, "waiting requests of an unknown gateway")
-        if hop == _Hop.OWN:
+        if hop == Hop.OWN:
             self._gather(news)
         if news.group_limits and news.gateway != self._presence().name:
             self._take_group_limits(news, there)
 
     def _counts(self, news, hop):
         heard, now = self._slot_news.heard, trio.current_time()
-        if hop == _Hop.ANNOUNCED:
+        if hop == Hop.ANNOUNCED:
             heard.record(news.gateway, news.counts, now)
             return news.counts
         return heard.correct_report(news.gateway, news.counts, news.is_all, now)
@@ -398,50 +295,3 @@
         except (TypeError, ValueError) as exc:
             # What the datagram tells of other gateways is taken all the same.
             log_event("share-unreadable", level="warning", why=str(exc)[:200])
-
-
-def _needs_sender(news):
-    """Tell whether news is taken only of a gateway that is there."""
-    return news.waiting_counts is not None or bool(news.group_limits)
-
-
-def _read_waiting(waiting):
-    """Check and unpack the requests that wait at a gateway; raises ValueError."""
-    if len(waiting) > _MOST_SERVICES:
-        raise ValueError(f"requests wait for {len(waiting)} services")
-    found = {}
-    for service, levels in dict(waiting).items():
-        if len(levels) > _MOST_LEVELS:
-            raise ValueError(f"requests of {len(levels)} urgencies wait")
-        counts = found[service] = {}
-        for level, count in levels:
-            if type(level) is not int or type(count) is not int:
-                raise ValueError(f"urgency {level!r} or count {count!r} is no number")
-            if not 1 <= count <= _MOST_WAITING:
-                raise ValueError(f"{count} requests of one urgency wait")
-            counts[level] = count
-    return found
-
-
-def _parts(words):
-    """Divide words on servers into pieces of bounded length."""
-    pairs = list(words.items())
-    for first in range(0, len(pairs), _MOST_WORDS):
-        yield dict(pairs[first : first + _MOST_WORDS])
-
-
-def _datagrams(hop, sender, news):
-    """Pack news into datagrams of bounded length, each of whole pieces."""
-    packed, length_bytes = [], 0
-    for item in news:
-        data = orjson.dumps(item.packed())
-        if packed and length_bytes + len(data) > _DATAGRAM_BYTES:
-            yield _datagram(hop, sender, packed)
-            packed, length_bytes = [], 0
-        packed.append(data)
-        length_bytes += len(data)
-    yield _datagram(hop, sender, packed)
-
-
-def _datagram(hop, sender, packed):
-    return b"[%d,%s,[%s]]" % (hop, orjson.dumps(sender), b",".join(packed))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing_forms.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_sharing_forms.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from gooseberryyoke_daemon.gateway import sharing
+from gooseberryyoke_daemon.gateway import load_news
 
 GOLDEN = orjson.loads(
     Path(__file__).with_name("sharing_forms.golden.json").read_bytes()
@@ -12,10 +12,10 @@
 
 COUNTS, LIMITS = {"s1": 3}, {"s1": [16, 2.5]}
 RECORDS = {
-    "counts": sharing._News("g1", COUNTS, True, {}, {}),
-    "limits": sharing._News("g1", COUNTS, False, LIMITS, {"s2": 1.5}),
-    "waiting": sharing._News("g1", COUNTS, True, {}, {}, {"chat": [[0, 4]]}),
-    "groups": sharing._News("g1", {}, False, {}, {}, None, {"group": [8, 1]}),
+    "counts": load_news.LoadNews("g1", COUNTS, True, {}, {}),
+    "limits": load_news.LoadNews("g1", COUNTS, False, LIMITS, {"s2": 1.5}),
+    "waiting": load_news.LoadNews("g1", COUNTS, True, {}, {}, {"chat": [[0, 4]]}),
+    "groups": load_news.LoadNews("g1", {}, False, {}, {}, None, {"group": [8, 1]}),
 }
 
 
@@ -24,11 +24,11 @@
 
 
 def _decoded(packed):
-    return sharing._News.from_json(packed)
+    return load_news.LoadNews.from_json(packed)
 
 
 def test_hops_are_numbers_in_datagrams():
-    assert {hop.name: hop.value for hop in sharing._Hop} == {
+    assert {hop.name: hop.value for hop in load_news.Hop} == {
         "OWN": 0,
         "BETWEEN": 1,
         "PASSED_ON": 2,
