Have requests with a refused part wait for a trial of it that is in progress

Cause: from the second end on a part's requests were refused whether or not its trial was in progress. Their callers come back seconds later, while the trial tells within half a second.

Change: while a trial is in progress requests with its part wait for it, 3 s at most as after the first end, and are refused at once if it ends a server. Without one they are refused at once, as before.

Evidence: test_requests_with_a_refused_part_wait_for_its_trial fails on the code before.

--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/suspects.py
@@ -331,5 +331,7 @@
     if trial_until_s is None and now >= earliest_s:
         return Clearance(ClearanceKind.TRIAL, now, part)
     until_s = earliest_s if trial_until_s is None else max(earliest_s, trial_until_s)
-    kind = ClearanceKind.WAIT if count == 1 else ClearanceKind.REFUSED
+    # A trial in progress decides within moments, also on a part that was refused.
+    is_decided_soon = count == 1 or trial_until_s is not None
+    kind = ClearanceKind.WAIT if is_decided_soon else ClearanceKind.REFUSED
     return Clearance(kind, until_s, part)
--- a/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/crash/tests/test_suspects.py
@@ -59,6 +59,17 @@
     assert kind(suspects, ["a"], 102.0) is TRIAL
 
 
+def test_requests_with_a_refused_part_wait_for_its_trial():
+    """A harmless part's requests were refused until the answer that cleared it."""
+    suspects = crashed("a", 2)
+    assert kind(suspects, ["a"], 103.0) is REFUSED
+    suspects.begin_trial(["a"], 105.0)
+    assert kind(suspects, ["a"], 105.1) is WAIT
+    suspects.record_crash("a-2", ["a"], 105.2)
+    suspects.end_trial(["a"])
+    assert kind(suspects, ["a"], 105.3) is REFUSED
+
+
 def test_a_success_clears_only_the_parts_of_its_prompt():
     suspects = crashed("a", 2)
     crashed("b", 2, suspects=suspects)
