Use one seeded scheduler in tests, proofs and benches, and give fake crashing engines a module

Change: seeded_scheduler serves all; tools/proof/schedule.py runs worlds; testing/crash_engine.py has the engine.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_prompt_crashes.py
@@ -1,7 +1,8 @@
 import pytest
 import trio
 
-from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL, run_fleet
+from gooseberryyoke_daemon.testing.crash_engine import HARMFUL
+from gooseberryyoke_daemon.testing.crash_fleet import run_fleet
 
 RATE = 20.0
 KNOWN_S, LOAD_S = 4.0, 30.0
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -6,7 +6,8 @@
 import pytest
 import trio
 
-from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL, run_fleet
+from gooseberryyoke_daemon.testing.crash_engine import HARMFUL
+from gooseberryyoke_daemon.testing.crash_fleet import run_fleet
 from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_request_crashes.py
@@ -6,7 +6,8 @@
 import pytest
 import trio
 
-from gooseberryyoke_daemon.testing.crash_fleet import HARMFUL_BODY, run_fleet
+from gooseberryyoke_daemon.testing.crash_engine import HARMFUL_BODY
+from gooseberryyoke_daemon.testing.crash_fleet import run_fleet
 from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
 
 RATE = 25.0
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -6,13 +6,13 @@
 import trio
 import trio.testing
 
-from gooseberryyoke.crash import shared_parts
 from gooseberryyoke.membership.server_registry import ServerEntry, ServerState
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.control import EntryPresence
 from gooseberryyoke_daemon.gateway import GatewayNode
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.gateway.sharing import LoadSharing
+from gooseberryyoke_daemon.testing.crash_engine import CrashEngine
 from gooseberryyoke_daemon.testing.routed import (
     KEY,
     NAMES,
@@ -23,24 +23,16 @@
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
-    HttpServer,
     Limits,
     Request,
-    Response,
     WireError,
 )
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
-__all__ = ["Answer", "CrashFleet", "HARMFUL", "HARMFUL_BODY", "run_fleet"]
+__all__ = ["Answer", "CrashFleet", "run_fleet"]
 
-HARMFUL = "dead"
-"""The part of a prompt on which engines crash."""
-HARMFUL_BODY = b"crash"
-"""The body of a request on which engines crash, whatever its prompt holds."""
 _BODY = b"body"
-_READ_S = 0.1
 _EVENTS = 10
-_EVENT_S = 0.03
 _DOWN_S = 3.0
 """From the crash of an engine until it is announced again."""
 _CONNECT_S = 0.15
@@ -95,55 +87,6 @@
         self.attempts = attempts
 
 
-class _Engine:
-    """One life of an engine."""
-
-    def __init__(self, fleet, number, life):
-        self.id = f"e{number}-{life}"
-        self.number = number
-        self.life = life
-        self.address = Address(f"10.1.0.{number}", 80)
-        self.scope = trio.CancelScope()
-        self._fleet = fleet
-
-    async def run(self, task_status):
-        host = self._fleet.network.host(self.address.host)
-        listeners = await host.listen(self.address)
-        server = HttpServer(self.answer, Limits())
-        with self.scope:
-            await server.run(listeners, task_status=task_status)
-
-    async def answer(self, request):
-        is_harmful = _is_harmful(request)
-        number = request.header(NAMES.attempt_id)
-        self._fleet.note_arrival(number, is_harmful, self)
-        headers = [(NAMES.signature, "sig"), ("content-type", "text/event-stream")]
-        if not request.target.startswith("/draw/"):
-            await trio.sleep(_READ_S)
-            if is_harmful:
-                await self._crash()
-            return Response(200, headers[:1], b"plain")
-        after = int(request.header("last-event-id", 0))
-        return Response(200, headers, self._events(is_harmful, after))
-
-    async def _events(self, is_harmful, after):
-        await trio.sleep(_READ_S)
-        for number in range(after + 1, self._fleet.events + 1):
-            if is_harmful and number > after + self._fleet.harmful_after:
-                await self._crash()
-            yield b"id: %d\ndata: x\n\n" % number
-            await trio.sleep(_EVENT_S)
-
-    async def _crash(self):
-        self._fleet.crash(self)
-        await trio.sleep_forever()
-
-
-def _is_harmful(request):
-    parts = shared_parts(request.header(NAMES.prompt_parts))
-    return HARMFUL in parts or request.body == HARMFUL_BODY
-
-
 class CrashFleet:
     """
     Several gateways that share engines.
@@ -282,7 +225,7 @@
         self._scopes.pop(name).cancel()
 
     async def _start_engine(self, number, life):
-        engine = self._engines[number] = _Engine(self, number, life)
+        engine = self._engines[number] = CrashEngine(self, number, life)
         await self._nursery.start(engine.run)
 
     def _entry(self, engine):
@@ -303,7 +246,7 @@
 
         Parameters
         ----------
-        engine : _Engine
+        engine : CrashEngine
         """
         if engine.scope.cancel_called:
             return
@@ -340,7 +283,7 @@
 
         Returns
         -------
-        list of _Engine
+        list of CrashEngine
         """
         return [e for e in self._engines.values() if not e.scope.cancel_called]
 
@@ -356,7 +299,7 @@
         ----------
         number : str
         is_harmful : bool
-        engine : _Engine
+        engine : CrashEngine
         """
         self._arrivals[number] = self._arrivals.get(number, 0) + 1
         if is_harmful:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/session.py
@@ -5,7 +5,6 @@
 
 from orjson import dumps, loads
 from trio import TASK_STATUS_IGNORED, CancelScope, open_nursery, run, sleep
-from trio._core import _run as scheduler
 from trio.testing import MockClock
 
 from gooseberryyoke.bundle import (
@@ -31,6 +30,7 @@
     SignOff,
 )
 from gooseberryyoke_daemon.storage.memory import MemoryDisk
+from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
@@ -338,8 +338,5 @@
             await sleep(0)
             nursery.cancel_scope.cancel()
 
-    # Trio shuffles the tasks that are ready at one instant. Seeded, a session
-    # takes the same course each time; this is how trio's own test plugin does it.
-    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
-    scheduler._r.seed(seed)
-    run(main, clock=MockClock(autojump_threshold=0))
+    with seeded_scheduler(seed):
+        run(main, clock=MockClock(autojump_threshold=0))
--- a/tools/bench/gateway_traffic.py
+++ b/tools/bench/gateway_traffic.py
@@ -1,13 +1,11 @@
 """Datagrams of counts as one of many gateways receives them, recorded in memory."""
 
 from collections import Counter
-from contextlib import contextmanager
 from hashlib import sha256
 from random import Random
 
 import trio
 import trio.testing
-from trio._core import _run as scheduler
 
 from gooseberryyoke.membership.server_registry import (
     RankPlace,
@@ -17,6 +15,7 @@
 from gooseberryyoke_daemon.control.presence import EntryPresence
 from gooseberryyoke_daemon.gateway.servers import Servers
 from gooseberryyoke_daemon.gateway.sharing import LoadSharing
+from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
 from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryNetwork
 
@@ -27,7 +26,6 @@
     "Traffic",
     "presence",
     "record",
-    "seeded_scheduler",
     "server_entries",
 ]
 
@@ -227,14 +225,3 @@
         await nursery.start(sharing.run)
         known.append(servers)
     return known
-
-
-@contextmanager
-def seeded_scheduler(seed):
-    """Fix the order in which ready tasks take their turns, for the block."""
-    before = scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r
-    scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r = True, Random(seed)
-    try:
-        yield
-    finally:
-        scheduler._ALLOW_DETERMINISTIC_SCHEDULING, scheduler._r = before
--- a/tools/bench/tests/test_gateway_cost.py
+++ b/tools/bench/tests/test_gateway_cost.py
@@ -1,8 +1,9 @@
 import trio
 import trio.testing
 
+from gooseberryyoke_daemon.testing.seeding import seeded_scheduler
 from tools.bench.gateway_cost import GatewayRun
-from tools.bench.gateway_traffic import record, seeded_scheduler
+from tools.bench.gateway_traffic import record
 from tools.bench.gateway_units import measure
 
 
--- a/tools/proof/claims.py
+++ b/tools/proof/claims.py
@@ -1,11 +1,9 @@
 """Requests that may run once, through entries, agents and replicas that fail."""
 
 from collections import Counter
-from functools import partial
 from random import Random
 
 import trio
-import trio.testing
 from returns.result import Failure, Success
 
 from gooseberryyoke.claim import (
@@ -23,6 +21,7 @@
     Proceed,
 )
 from gooseberryyoke_daemon.replica.memory import MemoryReplicas
+from tools.proof.schedule import run_seeded
 
 __all__ = ["STEPS", "ClaimWorld", "Told", "run_world"]
 
@@ -298,18 +297,8 @@
     -------
     ClaimWorld
     """
-    # trio shuffles the tasks that can run; a seed must mean one schedule.
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(partial(_run, main, seed, hook, latency_s), clock=clock)
-
-
-async def _run(main, seed, hook, latency_s):
-    with trio.fail_after(100_000):
-        async with trio.open_nursery() as nursery:
-            world = ClaimWorld(nursery, seed, hook, latency_s)
-            await world.start()
-            await main(world)
-            nursery.cancel_scope.cancel()
-    return world
+
+    def make_world(nursery):
+        return ClaimWorld(nursery, seed, hook, latency_s)
+
+    return run_seeded(main, seed, make_world)
--- a/tools/proof/evacuations.py
+++ b/tools/proof/evacuations.py
@@ -1,18 +1,17 @@
 """Orders to evacuate, through control processes, links and replicas that fail."""
 
 from collections import Counter
-from functools import partial
 from math import inf
 from random import Random
 
 import trio
-import trio.testing
 from returns.result import Success
 
 from gooseberryyoke.record import Record
 from gooseberryyoke_daemon.evacuations import EvacuationStore
 from gooseberryyoke_daemon.registers import PeerFailed, RegisterClient
 from gooseberryyoke_daemon.replica.memory import MemoryReplicas
+from tools.proof.schedule import run_seeded
 
 __all__ = [
     "CONTROLS",
@@ -403,18 +402,8 @@
     -------
     EvacuationWorld
     """
-    # trio shuffles the tasks that can run; a seed must mean one schedule.
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(seed)
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(partial(_run, main, seed, profile, mutation), clock=clock)
-
-
-async def _run(main, seed, profile, mutation):
-    with trio.fail_after(100_000):
-        async with trio.open_nursery() as nursery:
-            world = EvacuationWorld(nursery, seed, profile, mutation)
-            await world.start()
-            await main(world)
-            nursery.cancel_scope.cancel()
-    return world
+
+    def make_world(nursery):
+        return EvacuationWorld(nursery, seed, profile, mutation)
+
+    return run_seeded(main, seed, make_world)
