Check whether a server has ended also after an attempt that stalled

Cause: gateway-1 was stopped for 3 s with the request at an engine, and the engine ended under it. When the gateway went on, its timer had run out before it read the closed connection, so that the attempt failed as answer-stalled (after 3,172 ms), for which nobody asked whether the server had ended. The request went to a fourth engine, and from another gateway, which knew of two ends, to a fifth.

Change: a stalled attempt has its server asked like a broken one, in the background, as the next attempt need not wait.

Evidence: test_a_server_that_ended_counts_however_its_end_appears fails for answer-stalled on the code before. Why it works: a server that has ended refuses connections however its end appeared; one that stalls does not. A server that is back before the gateway asks is still not recognised.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -31,6 +31,9 @@
 _LONGEST_RETRY_S = 60.0
 _BROKEN = ("answer-cut", "no-answer")
 """Reasons of failed attempts whose connections ended."""
+_STALLED = "answer-stalled"
+"""After a stop of this gateway, or on a connection that has gone silent, a server that
+has ended appears as one that stalls."""
 _PART_REASONS = {
     ClearanceKind.WAIT: "prompt-suspected",
     ClearanceKind.REFUSED: "prompt-quarantined",
@@ -248,19 +251,25 @@
             Its answer had given events for a while.
         """
         try:
-            if exc.reason in _BROKEN:
-                await self._note_broken(exchange, server, has_held)
+            if exc.reason in _BROKEN or exc.reason == _STALLED:
+                await self._note_broken(exchange, server, exc.reason, has_held)
         finally:
             self.note_over(exchange)
 
-    async def _note_broken(self, exchange, server, has_held):
+    async def _note_broken(self, exchange, server, reason, has_held):
         broken = BrokenAttempt(exchange, server, has_held)
         # Until the check is done the attempt counts as being at its server.
         self.requests.begin_check(exchange.fingerprint, trio.current_time())
-        if not exchange.parts or has_held:
-            # The parts don't depend on it, so that the next attempt must not wait.
-            self._checks.start_soon(self._check, exchange, broken)
-        elif await self._check(exchange, broken):
+        if not exchange.parts or has_held or reason == _STALLED:
+            # The parts don't depend on it, or most likely not, so that the next attempt
+            # must not wait.
+            self._checks.start_soon(self._check_and_blame, exchange, broken)
+        else:
+            await self._check_and_blame(exchange, broken)
+
+    async def _check_and_blame(self, exchange, broken):
+        has_ended = await self._check(exchange, broken)
+        if has_ended and exchange.parts and not broken.has_held:
             self._note_end(exchange, broken)
 
     async def _check(self, exchange, broken):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_quarantine.py
@@ -1,17 +1,21 @@
 """The load: requests in all states while a part of their prompts is suspected."""
 
 from random import Random
+from types import SimpleNamespace
 
 import orjson
 import pytest
 import trio
 
+from gooseberryyoke.outcome import Verdict
+from gooseberryyoke_daemon.gateway.call import CallFailed
 from gooseberryyoke_daemon.testing.crash_engine import HARMFUL
 from gooseberryyoke_daemon.testing.crash_fleet import run_fleet
 from gooseberryyoke_daemon.wire import Address
 from gooseberryyoke_daemon.wire.memory import MemoryEndpoint
 
 PART = "a"
+REQUEST = "request:0123456789abcdef01234567"
 CLOSED = 5
 """Ends after which a part is sent no more."""
 BEGUN_S = 0.05
@@ -318,3 +322,33 @@
         return before, count(fleet)
 
     assert run(main, gateways=2, engines=1) == (0, CLOSED)
+
+
+@pytest.mark.parametrize("reason", ["answer-cut", "answer-stalled"])
+@pytest.mark.parametrize("parts", [[PART], []])
+def test_a_server_that_ended_counts_however_its_end_appears(reason, parts):
+    """A stopped gateway took ended servers for stalled ones, and sent a request on."""
+
+    async def main(fleet):
+        (engine,) = fleet.running()
+        (server,) = fleet.servers("g0")
+        quarantine, now = fleet.nodes["g0"].quarantine, trio.current_time()
+        exchange = SimpleNamespace(
+            fingerprint=REQUEST,
+            parts=parts,
+            number="a-1",
+            service="s",
+            sent_s=now,
+            events=0,
+            is_send_counted=False,
+            is_on_trial=False,
+            trial_server=None,
+        )
+        fleet.crash(engine)
+        failure = CallFailed(Verdict.MAY_HAVE_RUN, reason, "")
+        await quarantine.note_failed(exchange, server, failure)
+        await trio.sleep(0.5)
+        crashes = quarantine.requests.get(REQUEST).crash_count()
+        return crashes, quarantine.suspects.parts()
+
+    assert run(main, gateways=1, engines=1) == (1, parts)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/crash_fleet.py
@@ -287,6 +287,21 @@
         """
         return [e for e in self._engines.values() if not e.scope.cancel_called]
 
+    def servers(self, name):
+        """
+        List the engines as a gateway knows them.
+
+        Parameters
+        ----------
+        name : str
+            Of the gateway.
+
+        Returns
+        -------
+        list of Server
+        """
+        return self._servers[name].of_service("s")
+
     def crash_any(self):
         """Crash an engine for a reason that lies in no request."""
         self.crash(self.rng.choice(self.running()))
