Have nothing unread at an endpoint whose address is not bound

Callers would see: 500 at a gateway that takes callers before it has bound the address for news, if half a second had passed since its composition.

Cause: the check after a stop polled a socket that was not there. Change: has_unread is false before `open` and after `close`. Evidence: test_an_endpoint_tells_what_is_unread_before_during_and_after_its_use fails on the code before (TypeError).

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/datagram.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/datagram.py
@@ -88,7 +88,10 @@
         Returns
         -------
         bool
+            False while the address is not bound.
         """
+        if self._plain is None or self._plain.fileno() < 0:
+            return False
         poll = select.poll()
         poll.register(self._plain, select.POLLIN)
         return bool(poll.poll(0))
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_datagram.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/tests/test_datagram.py
@@ -24,3 +24,26 @@
         receiver.close()
 
     trio.run(main)
+
+
+def test_an_endpoint_tells_what_is_unread_before_during_and_after_its_use():
+    # Guards against requests that fail at a gateway which takes callers before it has
+    # bound the address for news, or after it has given it up.
+    async def main():
+        sender = UdpEndpoint(Address("127.0.0.1", 0))
+        receiver = UdpEndpoint(Address("127.0.0.1", 0))
+        assert not receiver.has_unread()
+        await sender.open()
+        await receiver.open()
+        assert not receiver.has_unread()
+        port = receiver._socket.getsockname()[1]
+        with trio.fail_after(10):
+            await sender.send(Address("127.0.0.1", port), b"news")
+            assert receiver.has_unread()
+            assert await receiver.receive() == b"news"
+        assert not receiver.has_unread()
+        sender.close()
+        receiver.close()
+        assert not receiver.has_unread()
+
+    trio.run(main)
