--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/evacuations/tests/test_evacuation_walks.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/evacuations/tests/test_evacuation_walks.py
@@ -1,16 +1,13 @@
-from random import Random
-
 import pytest
 import trio
 from returns.result import Success
 
 from gooseberryyoke.evacuation import EvacuationOrder, OrderKind
 from gooseberryyoke_daemon.testing.control_deployment import run_controls
+from gooseberryyoke_daemon.testing.control_walk import RECOVERY_S, ControlWalk
 from gooseberryyoke_daemon.testing.routed import sample_table
 
 STEPS = 20
-LONGEST_PAUSE_S = 3.0
-RECOVERY_S = 25.0
 EVACUATE_S = 5.0
 DATA_CENTRES = ("a", "b", "c")
 GATEWAYS = range(3)
@@ -21,26 +18,18 @@
     return Success(sample_table(int(text)))
 
 
-class Walk:
+class Walk(ControlWalk):
     """Random orders and losses, and what was acknowledged and in force meanwhile."""
 
     def __init__(self, deployment, seed, tolerance, spares):
-        self._deployment = deployment
-        self._rng = Random(seed)
-        self._tolerance = tolerance
-        self._seats = 2 * tolerance + 1
-        self._numbers = range(1, self._seats + spares + 1)
-        self._wiped = set()
-        self._cuts = set()
+        super().__init__(deployment, seed, tolerance, spares)
         self._gateways = {}
         self._contents = {}
         self._revisions = {}
         self.acked = []
 
     async def begin(self):
-        for number in self._numbers:
-            await self._deployment.start(number, founding=True, seats=self._seats)
-        await self._until_all_seats_vote()
+        await super().begin()
         await self._deployment.running[1].store.put(1, b"1")
         for number in GATEWAYS:
             self._start_gateway(number)
@@ -59,18 +48,6 @@
 
         gateway.watcher._on_install = note
 
-    def _held(self):
-        return {
-            control.keeper.replica.seat
-            for number, control in self._deployment.running.items()
-            if self._deployment.is_ready(number)
-        }
-
-    async def _until_all_seats_vote(self):
-        with trio.fail_after(RECOVERY_S):
-            while len(self._held()) < self._seats:
-                await trio.sleep(0.1)
-
     def _acked_before(self, at_s):
         return max((state.revision for s, state in self.acked if s <= at_s), default=0)
 
@@ -88,19 +65,23 @@
                 self._revisions[number] = state.revision
             await trio.sleep(LOOK_S)
 
-    async def step(self):
-        act = self._rng.choice(
-            (self._order, self._order, self._order, self._race, self._read)
-            + (self._kill, self._wipe, self._start, self._start, self._start)
-            + (self._cut, self._heal, self._kill_all, self._restart_gateway)
+    def _acts(self):
+        return (
+            self._order,
+            self._order,
+            self._order,
+            self._race,
+            self._read,
+            self._kill,
+            self._wipe,
+            self._start,
+            self._start,
+            self._start,
+            self._cut,
+            self._heal,
+            self._kill_all,
+            self._restart_gateway,
         )
-        await act()
-        await trio.sleep(self._rng.uniform(0, LONGEST_PAUSE_S) ** 2 / LONGEST_PAUSE_S)
-        self._wiped -= self._held()
-
-    def _some(self, numbers):
-        numbers = sorted(numbers)
-        return self._rng.choice(numbers) if numbers else None
 
     async def _order(self):
         """Send an order until it is acknowledged, as the operator's client does."""
@@ -150,36 +131,13 @@
             if isinstance(found, Success):
                 self._check(found.unwrap(), expected)
 
-    async def _kill(self):
-        number = self._some(self._deployment.running)
-        if number is not None:
-            self._deployment.kill(number)
-
     async def _kill_all(self):
         for number in list(self._deployment.running):
             self._deployment.kill(number)
         for number in list(self._gateways):
             await self._restart_gateway(number)
         for number in self._numbers:
-            await self._deployment.start(number, seats=self._seats)
-
-    async def _wipe(self):
-        # As many disks as the deployment has to bear, counted until another process,
-        # or the same, votes in the seat again.
-        voting = [n for n in self._deployment.running if self._deployment.is_ready(n)]
-        number = self._some(voting)
-        if number is None:
-            return
-        seat = self._deployment.running[number].keeper.replica.seat
-        if len(self._wiped | {seat}) > self._tolerance:
-            return
-        self._wiped.add(seat)
-        self._deployment.kill(number, wipe=True)
-
-    async def _start(self):
-        number = self._some(set(self._numbers) - set(self._deployment.running))
-        if number is not None:
-            await self._deployment.start(number, seats=self._seats)
+            await self._deployment.start(number, seats=self.seats)
 
     async def _restart_gateway(self, number=None):
         number = self._some(self._gateways) if number is None else number
@@ -192,20 +150,10 @@
         a = self._rng.choice(self._numbers)
         hosts = [f"10.0.0.{n}" for n in self._numbers if n != a]
         hosts += [f"10.7.0.{n}" for n in GATEWAYS]
-        cut = (f"10.0.0.{a}", self._rng.choice(hosts))
-        self._cuts.add(cut)
-        self._deployment.network.cut(*cut)
-
-    async def _heal(self):
-        for a, b in sorted(self._cuts):
-            self._deployment.network.heal(a, b)
-        self._cuts.clear()
+        self._cut_between(f"10.0.0.{a}", self._rng.choice(hosts))
 
     async def end(self):
-        await self._heal()
-        for number in set(self._numbers) - set(self._deployment.running):
-            await self._deployment.start(number, seats=self._seats)
-        await self._until_all_seats_vote()
+        await self._start_all()
         order = EvacuationOrder(OrderKind.START, DATA_CENTRES[0])
         with trio.fail_after(RECOVERY_S):
             while not await self._send(order, may_kill=False):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
@@ -1,60 +1,38 @@
-from random import Random
-
 import pytest
 import trio
 from returns.result import Success
 
 from gooseberryyoke_daemon.testing.control_deployment import run_controls
+from gooseberryyoke_daemon.testing.control_walk import ControlWalk
 
 STEPS = 25
-LONGEST_PAUSE_S = 4.0
-RECOVERY_S = 25.0
 
 
-class Walk:
+class Walk(ControlWalk):
     """Random losses among control processes, and what operators were told meanwhile."""
 
+    longest_pause_s = 4.0
+
     def __init__(self, deployment, seed, tolerance, spares):
-        self._deployment = deployment
-        self._rng = Random(seed)
-        self._tolerance = tolerance
-        self.seats = 2 * tolerance + 1
-        self._numbers = range(1, self.seats + spares + 1)
-        self._wiped = set()
-        self._cuts = set()
+        super().__init__(deployment, seed, tolerance, spares)
         self._version = 0
         self.acked = 0
-        self.wipes = self.acks = self.reads = 0
-
-    async def begin(self):
-        for number in self._numbers:
-            await self._deployment.start(number, founding=True, seats=self.seats)
-        await self._until_all_seats_vote()
-
-    def _held(self):
-        return {
-            control.keeper.replica.seat
-            for number, control in self._deployment.running.items()
-            if self._deployment.is_ready(number)
-        }
-
-    async def _until_all_seats_vote(self):
-        with trio.fail_after(RECOVERY_S):
-            while len(self._held()) < self.seats:
-                await trio.sleep(0.1)
-
-    async def step(self):
-        act = self._rng.choice(
-            (self._put, self._put, self._read, self._kill, self._kill, self._wipe)
-            + (self._start, self._start, self._cut, self._heal, self._lag_and_lose)
+        self.acks = self.reads = 0
+
+    def _acts(self):
+        return (
+            self._put,
+            self._put,
+            self._read,
+            self._kill,
+            self._kill,
+            self._wipe,
+            self._start,
+            self._start,
+            self._cut,
+            self._heal,
+            self._lag_and_lose,
         )
-        await act()
-        await trio.sleep(self._rng.uniform(0, LONGEST_PAUSE_S) ** 2 / LONGEST_PAUSE_S)
-        self._wiped -= self._held()
-
-    def _some(self, numbers):
-        numbers = sorted(numbers)
-        return self._rng.choice(numbers) if numbers else None
 
     async def _put(self):
         number = self._some(self._deployment.running)
@@ -80,25 +58,6 @@
                 stored = found.unwrap()
                 assert (0 if stored is None else stored.version) >= expected
 
-    async def _kill(self):
-        number = self._some(self._deployment.running)
-        if number is not None:
-            self._deployment.kill(number)
-
-    async def _wipe(self):
-        # As many disks as the deployment has to bear, counted until another process,
-        # or the same, votes in the seat again.
-        voting = [n for n in self._deployment.running if self._deployment.is_ready(n)]
-        number = self._some(voting)
-        if number is None:
-            return
-        seat = self._deployment.running[number].keeper.replica.seat
-        if len(self._wiped | {seat}) > self._tolerance:
-            return
-        self._wiped.add(seat)
-        self.wipes += 1
-        self._deployment.kill(number, wipe=True)
-
     async def _lag_and_lose(self):
         """
         Change the table while some lag, then leave these alone with emptied folders.
@@ -108,7 +67,7 @@
         """
         if self._wiped or len(self._held()) < self.seats or self._cuts:
             return
-        voting = [n for n in self._deployment.running if self._deployment.is_ready(n)]
+        voting = self._voting()
         self._rng.shuffle(voting)
         lagging, others = voting[: self._tolerance], voting[self._tolerance :]
         emptied, away = others[: self._tolerance], others[self._tolerance :]
@@ -116,39 +75,23 @@
             self._deployment.kill(number)
         await self._put()
         for number in emptied:
-            self._wiped.add(self._deployment.running[number].keeper.replica.seat)
-            self.wipes += 1
-            self._deployment.kill(number, wipe=True)
+            self._kill_and_wipe(number)
         for number in away:
             self._deployment.kill(number)
         for number in lagging + emptied:
             await self._deployment.start(number, seats=self.seats)
-        await trio.sleep(self._rng.uniform(1.0, 2 * LONGEST_PAUSE_S))
+        await trio.sleep(self._rng.uniform(1.0, 2 * self.longest_pause_s))
         for _ in lagging:
             await self._read()
         for number in away:
             await self._deployment.start(number, seats=self.seats)
 
-    async def _start(self):
-        number = self._some(set(self._numbers) - set(self._deployment.running))
-        if number is not None:
-            await self._deployment.start(number, seats=self.seats)
-
     async def _cut(self):
         a, b = self._rng.sample(self._numbers, 2)
-        self._cuts.add((a, b))
-        self._deployment.network.cut(f"10.0.0.{a}", f"10.0.0.{b}")
-
-    async def _heal(self):
-        for a, b in self._cuts:
-            self._deployment.network.heal(f"10.0.0.{a}", f"10.0.0.{b}")
-        self._cuts.clear()
+        self._cut_between(f"10.0.0.{a}", f"10.0.0.{b}")
 
     async def end(self):
-        await self._heal()
-        for number in set(self._numbers) - set(self._deployment.running):
-            await self._deployment.start(number, seats=self.seats)
-        await self._until_all_seats_vote()
+        await self._start_all()
         for control in self._deployment.running.values():
             found = await control.store.newest()
             stored = found.unwrap()
