--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/quarantine.py
@@ -261,8 +261,8 @@
         # Until the check is done the attempt counts as being at its server.
         self.requests.begin_check(exchange.fingerprint, trio.current_time())
         if not exchange.parts or has_held or reason == _STALLED:
-            # The parts don't depend on it, or most likely not, so that the next attempt
-            # must not wait.
+            # The next attempt must not wait: the parts don't depend on it, or the
+            # server most likely lives.
             self._checks.start_soon(self._check_and_blame, exchange, broken)
         else:
             await self._check_and_blame(exchange, broken)
