Log which servers a control process is told of by another one

Three hypotheses: the farewell was told to nobody before its process was killed; it was told and rejected by the order of announcements; the process that started again brought the older "ready" back. Gateways log what they take; control processes did not log what others tell them. Change: an event server-told for a server or state that is new.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -123,11 +123,23 @@
         ----------
         entries : list of ServerEntry
         """
-        now = trio.current_time()
-        changes = [self.servers.apply(entry, now) for entry in entries]
+        changes = [self._take_told(entry) for entry in entries]
         if any(changes):
             self._feed.wake()
 
+    def _take_told(self, entry):
+        known = self.servers.entries.get(entry.id)
+        is_change = self.servers.apply(entry, trio.current_time())
+        if is_change and (known is None or known.state is not entry.state):
+            log_event(
+                "server-told",
+                server=entry.id,
+                state=entry.state.value,
+                born_ms=entry.born_ms,
+                sequence=entry.sequence,
+            )
+        return is_change
+
     def hear_entries(self, control, entries, heard):
         """
         Take over which entries report to another control process.
