Acknowledge that a server leaves once a majority has settled it

What callers saw: requests went on to a server whose farewell had been acknowledged, for as long as it served, and those that run once were lost with it when it exited. Cause: a word that is said once was acknowledged from the memory of one control process. It was told in the next round; a process killed before that lost it. A heartbeat that says "draining" had the same fate, and a farewell at a process that didn't know the server was acknowledged and ignored. Change: a departure (id, incarnation) is written to the durable state and acknowledged once a majority has settled it; replicas hand what they store to their own control process, so that whoever settled it tells it. No majority within 0.75 s: 503, so that the server asks the next process before it takes the answer for none. A departure is final for its incarnation: late heartbeats and older words change nothing, a new incarnation is used at once.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(BIN)/python -m tools.bench.queueing
 	$(BIN)/python -m tools.bench.durable
 	$(BIN)/python -m tools.bench.quarantine
+	$(BIN)/python -m tools.bench.departures
 
 bench-capacity: $(VENV)/installed
 	$(BIN)/python -m tools.bench.capacity_state
@@ -53,6 +54,7 @@
 	$(BIN)/python -m tools.soak --seeds 50
 	$(BIN)/python -m tools.soak --evacuations --seeds 20 --seconds 25
 	$(BIN)/python -m tools.soak --crashes --seeds 20 --seconds 15
+	$(BIN)/python -m tools.soak --departures --seeds 20 --seconds 30
 	$(BIN)/python -m tools.soak --retries --seeds 20 --seconds 30
 
 clean:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/feed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/feed.py
@@ -4,6 +4,7 @@
 import trio
 from xxhash import xxh3_64_hexdigest
 
+from gooseberryyoke.membership.telling import DepartureTelling
 from gooseberryyoke_daemon.control.presence import EntryPresence, Presences
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
@@ -36,6 +37,8 @@
     rng : random.Random
     gateways : GatewayListKeeper, optional
         Whose list followers are told.
+    on_told : callable
+        Takes the `Told` of each departure.
 
     Attributes
     ----------
@@ -43,8 +46,19 @@
         Of the followers that say who they are.
     """
 
-    def __init__(self, servers, news, evacuations, view, rng, gateways=None):
+    def __init__(
+        self,
+        servers,
+        news,
+        evacuations,
+        view,
+        rng,
+        gateways=None,
+        on_told=lambda told: None,
+    ):
         self.entries = Presences()
+        self._telling = DepartureTelling()
+        self._on_told = on_told
         self._servers = servers
         self._news = news
         self._evacuations = evacuations
@@ -72,6 +86,19 @@
         """Tell followers of a change with the next round."""
         self._changed.set()
 
+    def tell_departure(self, departure):
+        """
+        Tell followers of a departure with the next round, and log who has taken it.
+
+        Parameters
+        ----------
+        departure : Departure
+            That was recorded last.
+        """
+        now = trio.current_time()
+        self._telling.add(departure, self._servers.change_count, now)
+        self.wake()
+
     def leave(self):
         """Answer every held call at once: the process ends."""
         self._is_leaving = True
@@ -98,6 +125,7 @@
         since = payload["since"] if payload["life"] == self._life else 0
         name = self._hear(payload.get("entry"))
         asked_s = trio.current_time()
+        self._note_taken(name or payload.get("follower"), since, asked_s)
         if payload.get("wants_gateways") and self._gateways is not None:
             self._gateways.want()
         if payload["wait_ms"] and not self._is_behind(payload, since):
@@ -110,6 +138,7 @@
             "count": self._servers.change_count,
             "servers": [entry.to_json() for entry in changed],
             "cold": self._servers.cold_reports(changed, trio.current_time()),
+            "departures": [d.to_json() for d in self._servers.departures.since(since)],
             "digest": digest,
             "table": self._news.to_json(trio.current_time()),
             "evacuation": self._evacuations.to_json(trio.current_time()),
@@ -124,6 +153,22 @@
             )
         return json_response(200, answer)
 
+    def _note_taken(self, follower, change_count, now):
+        """Note what a follower has; one of an earlier release may not say who it is."""
+        if not isinstance(follower, str):
+            return
+        for told in self._telling.hear(follower, change_count, now):
+            self._on_told(told)
+            log_event(
+                "departure-told",
+                level="warning" if told.missing else "info",
+                server=told.departure.id,
+                born_ms=told.departure.born_ms,
+                after_ms=round(1000 * told.after_s),
+                followers=told.told,
+                missing=told.missing,
+            )
+
     async def _hold(self, wait_s, name):
         """Wait for the next round; notes if the entry that asks breaks off."""
         try:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/link.py
@@ -6,6 +6,7 @@
 from gooseberryyoke.membership.following import FollowAll
 from gooseberryyoke.membership.server_registry import ServerEntry
 from gooseberryyoke.record import Record
+from gooseberryyoke_daemon.departures import decode_departures
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
 from gooseberryyoke_daemon.wire import Address, WireError
@@ -30,6 +31,9 @@
     def servers(self, entries):
         """Take the `ServerEntry` that have changed."""
 
+    def departures(self, departures):
+        """Take each `Departure` that was recorded since; before the servers."""
+
     def seats(self):
         """Take notice that the seats have changed."""
 
@@ -212,6 +216,8 @@
         presence = self._listener.presence()
         if presence is not None:
             payload["entry"] = presence
+        if self._own_address is not None:
+            payload["follower"] = self._own_address
         if self._listener.wants_gateways():
             payload["wants_gateways"] = True
         asked_s = trio.current_time()
@@ -251,6 +257,10 @@
         self._listener.entries(address, *self._entries.get(address, ([], [])))
         # After the entries: a listed gateway may send from then on.
         self._listener.gateways(payload.get("gateways"), told_s)
+        # Before the servers: a process may know one as ready that has departed.
+        departures = decode_departures(payload.get("departures"))
+        if departures:
+            self._listener.departures(departures)
         if servers:
             self._listener.servers(servers)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -1,14 +1,20 @@
 """What a control process knows, and the calls by which others follow it."""
 
+from importlib import import_module
+
 import trio
 from returns.result import Success
 
+from gooseberryyoke.membership.departure import Departure
 from gooseberryyoke.membership.server_registry import ServerRegistry, ServerState
 from gooseberryyoke.routing.table_view import TableView
 from gooseberryyoke_daemon.control.feed import Feed
 from gooseberryyoke_daemon.control.gateway_list import GatewayListKeeper
+from gooseberryyoke_daemon.control.observer import ControlObserver
 from gooseberryyoke_daemon.control.presence import Roster
+from gooseberryyoke_daemon.departures import DepartureKeeper
 from gooseberryyoke_daemon.evacuations import EvacuationProbe, ToldEvacuations
+from gooseberryyoke_daemon.lazy_metrics import METRICS_MODULE
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import SEATS_PATH
 from gooseberryyoke_daemon.tables import PutOutcome, TableProbe, index_of_text
@@ -32,6 +38,7 @@
     keeper : SeatKeeper
     store : TableStore
     evacuation_store : EvacuationStore
+    departure_store : DepartureStore
     rng : random.Random
     gateway_store : GatewayListStore, optional
         Without one no list of gateways is kept.
@@ -44,9 +51,19 @@
     evacuation_store : EvacuationStore
     evacuations : ToldEvacuations
     gateways : GatewayListKeeper
+    observer : ControlObserver
     """
 
-    def __init__(self, keeper, store, evacuation_store, rng, gateway_store=None):
+    def __init__(
+        self,
+        keeper,
+        store,
+        evacuation_store,
+        departure_store,
+        rng,
+        gateway_store=None,
+    ):
+        self.observer = ControlObserver()
         self.servers = ServerRegistry()
         self.news = TableView()
         self.store = store
@@ -66,11 +83,16 @@
             self._view,
             rng,
             self.gateways,
+            self.observer.departure_told,
         )
         self.entries = self._feed.entries
         self._roster = Roster()
         self._probe = TableProbe(store, self.news, self._feed.wake, rng)
         self.evacuation_store = evacuation_store
+        self._departure_store = departure_store
+        self._departures = DepartureKeeper(
+            departure_store, rng, self.observer.departure_settled
+        )
         self._evacuation_probe = EvacuationProbe(
             evacuation_store, self.evacuations, rng
         )
@@ -82,6 +104,7 @@
             nursery.start_soon(self._probe.run)
             nursery.start_soon(self._evacuation_probe.run)
             nursery.start_soon(self.gateways.run)
+            nursery.start_soon(self._departures.run)
             task_status.started()
             while True:
                 await trio.sleep(_LOOK_S)
@@ -94,12 +117,25 @@
 
     def announce(self, entry):
         """
-        Take a server's announcement.
+        Take a server's announcement, and tell followers of it.
 
         Parameters
         ----------
         entry : ServerEntry
+
+        Returns
+        -------
+        Departure or None
+            What has to be settled before the announcement is acknowledged.
         """
+        self._take_announced(entry)
+        if entry.state is ServerState.READY:
+            return None
+        departure = Departure(entry.id, entry.born_ms, entry.sequence, entry.state)
+        self.hear_departures([departure])
+        return departure
+
+    def _take_announced(self, entry):
         known = self.servers.entries.get(entry.id)
         if not self.servers.apply(entry, trio.current_time()):
             return
@@ -173,16 +209,77 @@
 
     def end(self, id, born_ms):
         """
-        Take a server's farewell.
+        Take a server's farewell, and tell followers of it.
 
         Parameters
         ----------
         id : str
         born_ms : int or None
+            None if the farewell doesn't tell.
+
+        Returns
+        -------
+        Departure or None
+            What has to be settled before the farewell is acknowledged. None if neither
+            the farewell nor this process knows which incarnation ends.
         """
+        known = self.servers.entries.get(id)
+        if born_ms is None and known is None:
+            return None
         if self.servers.end(id, born_ms, trio.current_time()):
             log_event("server-left", server=id, born_ms=born_ms)
             self._feed.wake()
+        ended_ms = known.born_ms if born_ms is None else born_ms
+        sequence = 0 if known is None else known.sequence
+        departure = Departure(id, ended_ms, sequence, ServerState.GONE)
+        self.hear_departures([departure])
+        return departure
+
+    async def settle(self, departure):
+        """
+        Wait until a departure outlasts the loss of this process.
+
+        Parameters
+        ----------
+        departure : Departure
+
+        Returns
+        -------
+        bool
+            False if no majority of replicas has settled it in time.
+        """
+        return await self._departures.settle(departure)
+
+    def hear_departures(self, departures):
+        """
+        Take over departures that a server, a process or the durable state tells.
+
+        Parameters
+        ----------
+        departures : iterable of Departure
+        """
+        now = trio.current_time()
+        for departure in departures:
+            if not self.servers.depart(departure, now):
+                continue
+            self._feed.tell_departure(departure)
+            log_event(
+                "server-departs",
+                server=departure.id,
+                state=departure.state.value,
+                born_ms=departure.born_ms,
+            )
+
+    def hear_stored(self, key, value):
+        """
+        Look for departures in what the replica of this process has stored.
+
+        Parameters
+        ----------
+        key : str
+        value : object
+        """
+        self.hear_departures(self._departure_store.listed(key, value))
 
     async def put_table(self, version, text):
         """
@@ -257,6 +354,21 @@
             **self._keeper.say(),
         }
 
+    async def render_metrics(self):
+        """
+        Show the metrics of this process.
+
+        Returns
+        -------
+        bytes
+            Text exposition format.
+        """
+        if self.observer.metrics is None:
+            # In a thread: calls of followers and replicas go on meanwhile.
+            await trio.to_thread.run_sync(import_module, METRICS_MODULE)
+            self.observer.load()
+        return self.observer.metrics.render()
+
     def count_ready(self):
         """Count the servers that take work."""
         entries = self.servers.entries.values()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/tests/test_follow.py
@@ -10,6 +10,7 @@
 from gooseberryyoke_daemon.control.link import Links, Listener
 from gooseberryyoke_daemon.control.node import ControlNode
 from gooseberryyoke_daemon.control.presence import EntryPresence
+from gooseberryyoke_daemon.departures import DepartureStore
 from gooseberryyoke_daemon.evacuations import EvacuationStore
 from gooseberryyoke_daemon.paths import FOLLOW_PATH
 from gooseberryyoke_daemon.registers import RegisterClient
@@ -42,7 +43,8 @@
     def __init__(self, network):
         registers = RegisterClient({}, Random(1))
         store, evacuations = TableStore(registers), EvacuationStore(registers)
-        self.node = ControlNode(Keeper(), store, evacuations, Random(1))
+        departures = DepartureStore(registers, "10.0.0.1:70", lambda: None)
+        self.node = ControlNode(Keeper(), store, evacuations, departures, Random(1))
         self.reply_bytes = []
         self._host = network.host(CONTROL.host)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/observer.py
@@ -1,35 +1,12 @@
 """Counts and times of a gateway's requests, for its metrics."""
 
-__all__ = ["GatewayObserver"]
-
-_HELD = 2000
-"""Requests whose figures are kept until the metrics are loaded."""
-
-
-class GatewayObserver:
-    """
-    Puts each answer and refusal into the metrics of the process.
+from gooseberryyoke_daemon.lazy_metrics import LazyMetrics
 
-    The metrics' library takes a third of a second to load on a small instance, which a
-    process that has just started does not have: what is observed before `load` is kept.
-
-    Attributes
-    ----------
-    metrics : Metrics or None
-    """
-
-    def __init__(self):
-        self.metrics = None
-        self._held = []
+__all__ = ["GatewayObserver"]
 
-    def load(self):
-        """Load the metrics, and put in what was observed before."""
-        from gooseberryyoke_daemon.metrics import Metrics
 
-        self.metrics = Metrics()
-        held, self._held = self._held, []
-        for observation in held:
-            self._put(*observation)
+class GatewayObserver(LazyMetrics):
+    """Puts each answer and refusal into the metrics of the process."""
 
     def answered(self, exchange, first_s, sent_s, now, cause=None):
         """
@@ -152,12 +129,6 @@
         """
         self._put("count", "starts_announced_total", {"service": service})
 
-    def _put(self, kind, name, labels, *values):
-        if self.metrics is not None:
-            getattr(self.metrics, kind)(name, *values, **labels)
-        elif len(self._held) < _HELD:
-            self._held.append((kind, name, labels, *values))
-
 
 def _labels(exchange):
     account, route = exchange.account, exchange.route
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -185,6 +185,27 @@
                 )
         self._refresh(now)
 
+    def depart(self, departures):
+        """
+        Send nothing more to incarnations that have said that they leave.
+
+        Parameters
+        ----------
+        departures : list of Departure
+            Also of servers that are not known.
+        """
+        now = trio.current_time()
+        news = [d for d in departures if self._book.depart(d, now)]
+        for departure in news:
+            log_event(
+                "server-departs",
+                server=departure.id,
+                state=departure.state.value,
+                born_ms=departure.born_ms,
+            )
+        if news:
+            self._refresh(now)
+
     def _refresh(self, now):
         self._book.remove_expired(now, _FORGET_S)
         for id, entry in self._book.entries.items():
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/metrics/definition.py
@@ -79,6 +79,20 @@
         CALL_LABELS,
         _MARGIN_BUCKETS_S,
     ),
+    Definition(
+        "departure_answer_seconds",
+        "From a server's word that it leaves to the answer, by outcome: settled by a "
+        "majority of replicas, or unsettled in time.",
+        ("outcome",),
+        _WAIT_BUCKETS_S,
+    ),
+    Definition(
+        "departure_told_seconds",
+        "From a server's departure until this control process's followers have taken "
+        "it, by outcome: all told, or some missing after 2 s.",
+        ("outcome",),
+        _WAIT_BUCKETS_S,
+    ),
 )
 
 COUNTERS = (
@@ -185,6 +199,10 @@
         "Of these, the servers that have asked this gateway for a pause.",
         ("service",),
     ),
+    Definition(
+        "departure_followers_told",
+        "Followers of this control process that have taken the last departure.",
+    ),
     Definition("evacuated_data_centres", "Data centres that are evacuated."),
     Definition(
         "evacuation_revision",
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -1,11 +1,18 @@
 """A replica: the acceptor, its data folder and its way into the majority."""
 
+from itertools import starmap
+
 import orjson
 import trio
 
 from gooseberryyoke.outcome import Refusal, Verdict
 from gooseberryyoke.register import Acceptor, ReplicaState, decode, encode
-from gooseberryyoke.register.changes import Founded, Identified, PeerSeen
+from gooseberryyoke.register.changes import (
+    Founded,
+    Identified,
+    PeerSeen,
+    SlotStored,
+)
 from gooseberryyoke.register.exceptions import UndecodableRecord
 from gooseberryyoke.register.messages import (
     Accept,
@@ -72,6 +79,9 @@
         Takes an identity that has not joined, and never will.
     withdrawn : callable
         Gives the identities that other processes have withdrawn.
+    on_stored : callable, optional
+        Takes key and value of each register that this replica stores, from its folder,
+        a copy or a proposer: accepted, but not always settled.
     path : str
         Under which this replica is served.
     hello_s : float
@@ -103,6 +113,7 @@
         on_confirming=None,
         on_withdrawn=None,
         withdrawn=frozenset,
+        on_stored=None,
         path=REGISTER_PATH,
         hello_s=_DEFAULT_HELLO_S,
         snapshot_bytes=None,
@@ -123,6 +134,7 @@
         self._on_confirming = on_confirming
         self._on_withdrawn = on_withdrawn
         self.withdrawn = withdrawn
+        self._on_stored = on_stored
         self._path = path
         self._snapshot_bytes = snapshot_bytes
         self._telling = 0
@@ -159,6 +171,7 @@
 
     async def _live(self, replies, task_status):
         recovered, state = await self._recover_state()
+        self._tell_stored(starmap(SlotStored, state.slots.items()))
         self._start_journal(recovered, state)
         self._telling = recovered.position
         async with trio.open_nursery() as nursery:
@@ -297,7 +310,15 @@
         self._append(changes)
         await self.journal.sync(self.journal.position)
 
+    def _tell_stored(self, changes):
+        if self._on_stored is None:
+            return
+        for change in changes:
+            if isinstance(change, SlotStored):
+                self._on_stored(change.key, change.slot.cell.value)
+
     def _append(self, changes):
+        self._tell_stored(changes)
         for change in changes:
             position = self.journal.append(change)
             if not isinstance(change, PeerSeen):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
@@ -6,6 +6,7 @@
 from gooseberryyoke_daemon.control.link import Links, Listener
 from gooseberryyoke_daemon.control.load import ControlLoad
 from gooseberryyoke_daemon.control.node import ControlNode
+from gooseberryyoke_daemon.departures import DepartureStore
 from gooseberryyoke_daemon.evacuations import EvacuationStore
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.routed.node import Node
@@ -29,13 +30,15 @@
     rng : random.Random
     open_disk : callable
         Takes a path and gives a FolderDisk or MemoryDisk.
+    clock : Clock, optional
+        For the times that are written to the durable state.
 
     Attributes
     ----------
     node : ControlNode
     """
 
-    def __init__(self, settings, network, rng, open_disk):
+    def __init__(self, settings, network, rng, open_disk, clock=None):
         super().__init__(settings.node, network, rng)
         self.keeper = SeatKeeper(
             str(settings.node.internal),
@@ -52,12 +55,16 @@
             settings.node.founding,
             settings.node.seats,
             self.seats_changed,
+            self._hear_stored,
         )
-        evacuation_store = EvacuationStore(self.registers, settings.data_centres)
+        evacuation_store = EvacuationStore(self.registers, settings.data_centres, clock)
         self.node = ControlNode(
             self.keeper,
             self.store,
             evacuation_store,
+            DepartureStore(
+                self.registers, self.keeper.address, self.keeper.seat, clock
+            ),
             rng,
             GatewayListStore(self.registers),
         )
@@ -86,6 +93,9 @@
             task_status.started()
             log_event("started", role="control")
 
+    def _hear_stored(self, key, value):
+        self.node.hear_stored(key, value)
+
     async def _serve_replica(self, request):
         for served in (self.keeper.replica, self.keeper.founding):
             response = None if served is None else await served.handle(request)
@@ -108,6 +118,9 @@
     def servers(self, entries):
         self._control.node.pass_on(entries)
 
+    def departures(self, departures):
+        self._control.node.hear_departures(departures)
+
     def seats(self):
         self._control.seats_changed()
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/gateway.py
@@ -237,6 +237,13 @@
         if any(changes):
             self._gateway.feed.wake()
 
+    def departures(self, departures):
+        self._gateway.servers.depart(departures)
+        now = trio.current_time()
+        news = [d for d in departures if self._gateway.book.depart(d, now)]
+        if news:
+            self._gateway.feed.wake()
+
     def seats(self):
         self._gateway.seats_changed()
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -74,6 +74,8 @@
         Number of seats of a deployment that is founded.
     on_seats : callable
         Called when the seats have changed.
+    on_stored : callable, optional
+        See `Replica`.
 
     Attributes
     ----------
@@ -97,6 +99,7 @@
         founding,
         size,
         on_seats=lambda: None,
+        on_stored=None,
     ):
         self.address = address
         self.replica = None
@@ -113,6 +116,7 @@
         self._is_first_start = founding
         self._size = size
         self._on_seats = on_seats
+        self._on_stored = on_stored
         self._record = SeatRecord()
         self._is_candidate = False
         self._record_lock = trio.Lock()
@@ -256,6 +260,7 @@
             on_confirming=self._keep_joining,
             on_withdrawn=self._withdraw,
             withdrawn=self._all_withdrawn,
+            on_stored=self._on_stored,
         )
         self.replica = self._peers.own = replica
         self._seat_scope = trio.CancelScope()
@@ -462,6 +467,16 @@
         """
         return {"seats": self._seats.to_json(), "controls": self.live_controls()}
 
+    def seat(self):
+        """
+        Tell the seat of this process.
+
+        Returns
+        -------
+        str or None
+        """
+        return None if self.replica is None else self.replica.seat
+
     def live_controls(self):
         """
         List the control processes that answered lately, this one included.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from gooseberryyoke.retry import RetryLimit
+from gooseberryyoke_daemon.clock import Clock
 from gooseberryyoke_daemon.header_names import HeaderNames
 from gooseberryyoke_daemon.routed.control import Control
 from gooseberryyoke_daemon.routed.gateway import Gateway
@@ -28,6 +29,8 @@
 RANK_PORT = 72
 """Each role has a port of its own, as two processes may share a machine."""
 _RETRY_LIMIT = RetryLimit()
+_STARTED_S = 1_790_000_000.0
+"""Unix time at the start of the mock clock."""
 CONTACTS = tuple(f"10.0.0.{number}:{PORT}" for number in (1, 2, 3))
 
 
@@ -95,6 +98,7 @@
             self.network.host(host),
             Random(self.rng.getrandbits(64)),
             self._open_disk(host),
+            Clock(wall=lambda: trio.current_time() + _STARTED_S),
         )
         control.call_s = self._call_s
         self._scopes[number] = trio.CancelScope()
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
@@ -1,8 +1,8 @@
 """Registry of the backend servers that announce themselves."""
 
-from enum import Enum
-
 from gooseberryyoke.membership.cold_report import LocalColdReport
+from gooseberryyoke.membership.departure import DepartureBook
+from gooseberryyoke.membership.server_state import ServerState
 from gooseberryyoke.record import Record
 
 __all__ = ["RankPlace", "ServerRegistry", "ServerEntry", "ServerState"]
@@ -12,14 +12,6 @@
 for which any announcement can be in transit."""
 
 
-class ServerState(Enum):
-    """State that a backend server announces."""
-
-    READY = "ready"
-    DRAINING = "draining"
-    GONE = "gone"
-
-
 class RankPlace(Record):
     """
     A server's rank in an expert-parallel group.
@@ -175,9 +167,12 @@
         Number of changes so far.
     cold : dict of str to LocalColdReport
         Cold report of the newest incarnation of each id.
+    departures : DepartureBook
+        Incarnations that take no further requests, also of ids without an entry.
     """
 
     __slots__ = (
+        "departures",
         "entries",
         "last_heard_s",
         "change_numbers",
@@ -187,6 +182,7 @@
     )
 
     def __init__(self):
+        self.departures = DepartureBook()
         self.entries = {}
         self.cold = {}
         self.last_heard_s = {}
@@ -211,6 +207,7 @@
             Whether anything but the sequence number has changed. A cold time that ends
             as reported before is no change.
         """
+        entry = self.departures.apply_to(entry)
         known = self.entries.get(entry.id)
         if known is not None and known.order_key >= entry.order_key:
             return False
@@ -294,6 +291,32 @@
         self._store(known.replace(state=ServerState.GONE), now, is_change=True)
         return True
 
+    def depart(self, departure, now):
+        """
+        Record that an incarnation takes no further requests.
+
+        Parameters
+        ----------
+        departure : Departure
+            The departure; its server need not be known.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was not known yet.
+        """
+        if not self.departures.record(departure, self.change_count + 1, now):
+            return False
+        self.change_count += 1
+        known = self.entries.get(departure.id)
+        if known is not None:
+            after = self.departures.apply_to(known)
+            if after is not known:
+                self._record_change(after)
+        return True
+
     def changed_since(self, change_count):
         """
         List the servers that changed after a number of changes.
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -10,6 +10,7 @@
 from examples.demonstration.ports import Ports
 from examples.demonstration.processes import ROOT
 from tools.soak.crash_soak import CrashSoak
+from tools.soak.departure_soak import DepartureSoak
 from tools.soak.evacuation_soak import EvacuationSoak
 from tools.soak.retry_soak import RetrySoak
 from tools.soak.soak import Soak
@@ -20,6 +21,7 @@
 _ROUTED = {
     "evacuations": EvacuationSoak,
     "crashes": CrashSoak,
+    "departures": DepartureSoak,
     "retries": RetrySoak,
 }
 """Soaks of the deployment of gateways, by their options."""
@@ -75,6 +77,12 @@
     flag_value="retries",
     help="Fail requests of two services, and kill gateways in series, instead.",
 )
+@click.option(
+    "--departures",
+    "kind",
+    flag_value="departures",
+    help="Let engines leave, and kill who acknowledges that, instead.",
+)
 @click.option("--gateways", default=3, show_default=True, help="With --retries only.")
 def main(first, seeds, seconds, folder, kind, gateways):
     """Run a deployment under random faults, and check what its callers get."""
--- a/tools/soak/routed_deployment.py
+++ b/tools/soak/routed_deployment.py
@@ -321,18 +321,34 @@
         return Address(host, _FRONT_PORT), request
 
     async def _put_table(self):
-        while not await self._tell(CONFIG_PUT, self._document):
+        while not await self.tell(CONFIG_PUT, self._document):
             await trio.sleep(_POLL_S)
 
+    @staticmethod
+    def heartbeat_path(engine):
+        """Give the path of an engine's heartbeats."""
+        return f"{HEARTBEAT_PREFIX}{engine.id}"
+
     async def _announce(self, engine):
         while True:
             if engine.is_up:
-                path = f"{HEARTBEAT_PREFIX}{engine.id}"
-                await self._tell(path, engine.announcement())
+                await self.tell(self.heartbeat_path(engine), engine.announcement())
             await trio.sleep(_HEARTBEAT_S)
 
-    async def _tell(self, path, document):
-        """Call control processes in any order until one takes it."""
+    async def tell(self, path, document):
+        """
+        Call control processes in any order until one takes it.
+
+        Parameters
+        ----------
+        path : str
+        document : dict
+
+        Returns
+        -------
+        str or None
+            Name of the process that did.
+        """
         addresses = self.control_addresses()
         for address in self._rng.sample(addresses, len(addresses)):
             try:
@@ -342,8 +358,8 @@
             except WireError:
                 continue
             if reply.status == _OK:
-                return True
-        return False
+                return self.control_at(address)
+        return None
 
     def _write_settings(self, name, is_first):
         host = self._hosts[name]
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 from examples.demonstration.ports import Ports
 from gooseberryyoke_daemon.wire import Address
 from tools.soak.crash_soak import CrashSoak, late_arrivals, sent_on
+from tools.soak.departure_soak import DepartureSoak, Left, arrivals_after_leaving
 from tools.soak.evacuation_soak import EvacuationSoak, SentOrder, arrivals_after
 from tools.soak.faults import Kill, Roll, draw_faults
 from tools.soak.proxy import Proxy
@@ -144,6 +145,26 @@
     assert sent_on(ends[:2], [0.9, 1.9, 8.5]) == []
 
 
+def test_arrivals_after_a_departure_count_in_calm_until_the_engine_begins_anew():
+    # Guards against a run that holds although requests came, and against one that
+    # fails for gateways that were frozen, or for the engine's next incarnation.
+    departures = [Left(10.0, 30.0), Left(40.0)]
+    arrivals = [9.0, 11.0, 12.5, 20.0, 31.0, 41.0, 50.0]
+    after_s = [2.5, 10.0, 10.0]
+    assert arrivals_after_leaving(departures, arrivals, []) == after_s
+    disturbed = [(11.0, 17.0), (49.0, float("inf"))]
+    assert arrivals_after_leaving(departures, arrivals, disturbed) == []
+
+
+def test_a_short_run_of_departures_with_a_fixed_seed(tmp_path):
+    # Real control processes are killed right after they have acknowledged that engines
+    # leave, and gateways are killed and paused: nothing arrives there any more.
+    soak = DepartureSoak(tmp_path / "run", seed=3, seconds=10.0)
+    result = trio.run(soak.run)
+    assert soak.departures
+    assert [str(point) for point in result.points if point.faults] == []
+
+
 def test_a_short_run_of_harmful_prompts_with_a_fixed_seed(tmp_path):
     # Real engines end on one part of a prompt and on single requests, and answer in
     # every way there is, while gateways are killed and paused: part and requests reach
