Bound what a gateway holds of an answer that has no end

What callers saw: with one of three engines answering without end, half of all requests refused, and a gateway that grows by hundreds of MB until its limit kills it. Cause: a plain answer was held until it was whole, without a bound for itself or for all. The body is not read at all after a 5xx if another server is asked, nor after a success without a signature (unsigned-answer, where the platform requires one; stand-ins of the soak sign now). 16 replies 1xx at most; a parser gives way after 32 events; a frame of an agent ends within 1 MiB.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/remote_attempt.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/entry/remote_attempt.py
@@ -21,6 +21,8 @@
 _RETRY_S = 1.0
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 0.5
+_LONGEST_FRAME_BYTES = 1024 * 1024
+"""Agents put what they receive at once, 16 KiB at most, into a frame."""
 
 
 class AttemptReference(Record):
@@ -192,6 +194,8 @@
             if chunk is None:
                 return None
             *lines, rest = (rest + chunk).split(b"\n")
+            if len(rest) > _LONGEST_FRAME_BYTES:
+                raise FrameError(f"no end within {len(rest)} bytes")
             for line in lines:
                 result = await self._take(decode_frame(line))
                 if result is not None:
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/call.py
@@ -14,6 +14,8 @@
 
 __all__ = ["Call", "CallFailed", "ServerCalls", "server_priority"]
 
+_OK = 200
+_STATUSES_OF_A_CLASS = 100
 _MISDIRECTED = 421
 _ON_TIME_LEVELS = ((0, 0), (9, 1), (10, 2), (11, 3), (19, 4))
 _LATE_LEVELS = ((9, 6), (11, 7), (19, 8))
@@ -171,6 +173,9 @@
         """
         body = bytearray()
         while chunk := await self.next_chunk(deadline_s - trio.current_time()):
+            if not holding.may_grow(len(chunk)):
+                detail = f"no end within {len(body) + len(chunk)} bytes"
+                raise CallFailed(Verdict.MAY_HAVE_RUN, "answer-too-long", detail)
             holding.acquire(len(chunk))
             body += chunk
         return bytes(body)
@@ -320,6 +325,14 @@
             # has not said.
             detail = f"status {status} without a promise"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "server-failed", detail)
+        if self._is_unsigned_success(call):
+            detail = f"status {status} without a signature"
+            raise CallFailed(Verdict.MAY_HAVE_RUN, "unsigned-answer", detail)
+
+    def _is_unsigned_success(self, call):
+        is_success = _OK <= call.head.status < _OK + _STATUSES_OF_A_CLASS
+        is_signed = call.header(self._names.signature) is not None
+        return self._names.requires_signature and is_success and not is_signed
 
     def _hear(self, exchange, server, call):
         report = read_report(call.head.status, call.head.headers, self._names)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/relay.py
@@ -180,11 +180,12 @@
             relay = StreamRelay(self, exchange, call, self._read_ahead)
             await relay.start()
             return Response(head.status, head.headers, relay, until_close)
-        with self._read_ahead.held.open() as holding:
-            body = await call.read(self._until_s(exchange), holding)
+        # Before the body, which is not needed then and might have no end.
         if head.status >= _INTERNAL_ERROR and self._may_ask_another(exchange):
             detail = f"status {head.status}"
             raise CallFailed(Verdict.MAY_HAVE_RUN, "server-error", detail)
+        with self._read_ahead.held.open() as holding:
+            body = await call.read(self._until_s(exchange), holding)
         call.server.health.succeeded()
         if head.status == _OK:
             self.note_held(exchange)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/header_names.py
@@ -36,6 +36,8 @@
         From 0, the most urgent, to 9; a server admits by it.
     prompt_parts : str
         Parts of a request's prompt; see `gooseberryyoke.crash.shared_parts`.
+    requires_signature : bool
+        Whether a success without a server's signature is no answer.
     """
 
     __slots__ = (
@@ -51,6 +53,7 @@
         "priority",
         "cold",
         "prompt_parts",
+        "requires_signature",
     )
 
     def __init__(
@@ -67,7 +70,9 @@
         priority="gooseberryyoke-priority",
         cold=("gooseberryyoke-cold-ms",),
         prompt_parts="gooseberryyoke-prompt-parts",
+        requires_signature=False,
     ):
+        self.requires_signature = requires_signature
         self.prompt_parts = prompt_parts
         self.cold = tuple(cold)
         self.attempt_id = attempt_id
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/routed.py
@@ -184,7 +184,7 @@
         Its ``table`` may be replaced.
     """
 
-    def __init__(self, nursery, table, held=None):
+    def __init__(self, nursery, table, held=None, names=NAMES):
         self.network = MemoryNetwork(latency_s=0.001)
         self.watcher = _FixedTable(table)
         rng = Random(1)
@@ -195,9 +195,9 @@
             keeps_host=True,
             connect_timeout_s=_CONNECT_S,
         )
-        self.calls = ServerCalls(client, NAMES)
+        self.calls = ServerCalls(client, names)
         self.node = GatewayNode(
-            self.watcher, self.servers, client, NAMES, rng, sole_budgets(), held=held
+            self.watcher, self.servers, client, names, rng, sole_budgets(), held=held
         )
         self.caller = HttpClient(self.network.host("10.9.0.1"), keeps_host=True)
         self._nursery = nursery
@@ -357,7 +357,7 @@
         return replies
 
 
-def run_routed(main, table=None, held=None):
+def run_routed(main, table=None, held=None, names=NAMES):
     """
     Run a test against a gateway, on a clock that jumps.
 
@@ -368,12 +368,14 @@
     table : RouteTable, optional
     held : HeldBytes, optional
         Of the gateway.
+    names : HeaderNames
+        Of the gateway.
     """
 
     async def body():
         with trio.fail_after(_LIMIT_S):
             async with trio.open_nursery() as nursery:
-                session = RoutedSession(nursery, table or sample_table(), held)
+                session = RoutedSession(nursery, table or sample_table(), held, names)
                 await session.start()
                 await main(session)
                 nursery.cancel_scope.cancel()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/channel.py
@@ -8,6 +8,9 @@
 STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 _RECEIVE_BYTES = 16 * 1024
+_EVENTS_A_TURN = 32
+"""Events parsed before other tasks get a turn: what was received at once may have
+thousands, of a byte each."""
 
 
 class Channel:
@@ -30,7 +33,14 @@
         once: a read after that may see a plain end.
     """
 
-    __slots__ = ("stream", "conn", "early_bytes", "idle_since_s", "is_write_broken")
+    __slots__ = (
+        "stream",
+        "conn",
+        "early_bytes",
+        "idle_since_s",
+        "is_write_broken",
+        "_parsed",
+    )
 
     def __init__(self, stream, role, head_bytes):
         self.stream = stream
@@ -38,6 +48,7 @@
         self.early_bytes = 0
         self.idle_since_s = 0.0
         self.is_write_broken = False
+        self._parsed = 0
 
     async def receive(self):
         """
@@ -52,6 +63,10 @@
         h11.RemoteProtocolError
             If the peer breaks the protocol or ends within a message.
         """
+        if self._parsed >= _EVENTS_A_TURN:
+            self._parsed = 0
+            await trio.lowlevel.checkpoint()
+        self._parsed += 1
         while (event := self.conn.next_event()) is h11.NEED_DATA:
             await self.feed()
         return event
@@ -65,6 +80,7 @@
         bool
             False at the end of the stream.
         """
+        self._parsed = 0
         data = await self.stream.receive_some(_RECEIVE_BYTES)
         self.conn.receive_data(data)
         self.early_bytes += len(data)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -24,6 +24,8 @@
 
 _SAFE_METHODS = ("GET", "HEAD")
 _REQUEST_TIMEOUT = 408
+_MOST_INFORMATIONAL = 16
+"""Replies 1xx before the final one; a server may send them without end."""
 
 
 class JsonReply(Record):
@@ -381,13 +383,13 @@
             self.channel.is_write_broken = True
 
     async def _read_head(self):
-        while isinstance(
-            event := await self.channel.receive(), h11.InformationalResponse
-        ):
-            pass
-        if isinstance(event, h11.ConnectionClosed):
-            raise trio.BrokenResourceError("closed before a reply")
-        return event
+        for _ in range(_MOST_INFORMATIONAL + 1):
+            event = await self.channel.receive()
+            if isinstance(event, h11.ConnectionClosed):
+                raise trio.BrokenResourceError("closed before a reply")
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise h11.RemoteProtocolError(f"over {_MOST_INFORMATIONAL} replies 1xx")
 
 
 def _was_closing(reply):
--- a/tools/soak/crashing_engine.py
+++ b/tools/soak/crashing_engine.py
@@ -8,7 +8,7 @@
 from gooseberryyoke.crash import shared_parts
 from gooseberryyoke_daemon.wire import BodyCut, Response
 from gooseberryyoke_platform.names import HEADERS
-from tools.soak.routed_deployment import Engine
+from tools.soak.routed_deployment import SIGNATURE, Engine
 
 __all__ = ["HARMFUL", "CrashingEngine", "harmful_path", "stream_body"]
 
@@ -139,7 +139,7 @@
         if is_broken and after < _EVENTS:
             last = self._rng.randint(after + 1, _EVENTS)
             events = self._broken(request.path, after, last, is_unframed)
-        headers = [("content-type", "text/event-stream")]
+        headers = [SIGNATURE, ("content-type", "text/event-stream")]
         return Response(_OK, headers, events, until_close=is_unframed)
 
     async def _serve_harmful(self, request, events):
@@ -148,7 +148,7 @@
             await trio.sleep(self._rng.uniform(*_READ_S))
             await self._end_for(ends_s)
         after = int(request.header("last-event-id", 0))
-        headers = [("content-type", "text/event-stream")]
+        headers = [SIGNATURE, ("content-type", "text/event-stream")]
         body = self._events_before_end(request.path, after, events, ends_s)
         return Response(_OK, headers, body)
 
--- a/tools/soak/routed_deployment.py
+++ b/tools/soak/routed_deployment.py
@@ -26,7 +26,10 @@
     SETTINGS_VARIABLE,
 )
 
-__all__ = ["ZONES", "Engine", "RoutedDeployment", "make_document"]
+__all__ = ["SIGNATURE", "ZONES", "Engine", "RoutedDeployment", "make_document"]
+
+SIGNATURE = (HEADERS.signature, "soak")
+"""Of all engines."""
 
 ZONES = ("z-a", "z-b", "z-c")
 _CONTROLS = 3
@@ -147,7 +150,7 @@
         """Note a request and answer it."""
         self.arrivals.append(trio.current_time())
         await trio.sleep(self._rng.uniform(*_ANSWER_S))
-        return Response(_OK, [], b"done")
+        return Response(_OK, [SIGNATURE], b"done")
 
     def announcement(self):
         """Make the next heartbeat."""
