Hand the seat of a control process over before a planned stop ends

The seat counted as vacant after 2.5 s of silence only, however long a process without a seat had been there. Change: a process that stops says in its greetings that it hands its seat over; a live process without a seat takes it at once, and the one that stops doesn't claim it back. Without a spare process a stop takes no longer than before.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -244,7 +244,8 @@
         The peers name this holder's new identity, which bars the other from joining;
         what they have confirmed before and after that tells whether it has.
         """
-        if await self._contest(sources) is not ContestOutcome.WON:
+        outcome = await self._contest(sources)
+        if outcome is not ContestOutcome.WON or self._replica.yields:
             return
         if self._state.status == READY or is_replaced(self._state, replies):
             former = self._state.former or self._state.incarnation
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -93,6 +93,8 @@
     ----------
     is_taken_over : bool
         Another process holds the seat now; this replica votes no more.
+    yields : bool
+        Whether another process that begins to take the seat is let have it.
 
     Notes
     -----
@@ -127,6 +129,7 @@
         self.acceptor = None
         self.journal = None
         self.is_taken_over = False
+        self.yields = False
         self._disk = disk
         self._founders = founders
         self._forget_founders = forget_founders
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
@@ -15,6 +15,8 @@
 
 __all__ = ["Control"]
 
+_HAND_OVER_S = 4.0
+"""For a successor to copy the state; the platform ends a process some seconds later."""
 _CONTROL_STOP_S = 0.3
 """For calls in flight at a control process that ends."""
 
@@ -103,6 +105,16 @@
                 return response
         return None
 
+    async def hand_over(self, timeout_s=_HAND_OVER_S):
+        """
+        Have a process without a seat take this one's; all calls are still served.
+
+        Parameters
+        ----------
+        timeout_s : float
+        """
+        await self.keeper.hand_over(timeout_s)
+
     async def stop(self):
         """End calls in flight; the caller then cancels `run`."""
         self.node.leave()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
@@ -27,7 +27,14 @@
         Identities that have not joined and never will, by any other's word.
     """
 
-    __slots__ = ("withdrawn", "_address", "_heard_s", "_told_s", "_nonces")
+    __slots__ = (
+        "withdrawn",
+        "_address",
+        "_handing_over",
+        "_heard_s",
+        "_told_s",
+        "_nonces",
+    )
 
     def __init__(self, address):
         self.withdrawn = set()
@@ -35,6 +42,7 @@
         self._heard_s = {}
         self._told_s = {}
         self._nonces = {}
+        self._handing_over = set()
 
     def note(self, address, payload, now):
         """
@@ -45,7 +53,8 @@
         address : str
         payload : dict
             With ``controls`` that it knows, its ``nonce`` while it may become a
-            founder, and the identities that it has ``withdrawn``.
+            founder, the identities that it has ``withdrawn``, and whether it
+            ``hands_over`` its seat. One of an earlier release doesn't tell the last.
         now : float
             In seconds.
 
@@ -59,6 +68,10 @@
         for other in payload.get("controls", ()):
             self._told_s[str(other)] = now
         self._note_nonce(address, payload.get("nonce"))
+        if payload.get("hands_over") is True:
+            self._handing_over.add(address)
+        else:
+            self._handing_over.discard(address)
         self.withdrawn |= {Incarnation(*i) for i in payload.get("withdrawn", ())}
         return now - before_s > VACANT_S
 
@@ -85,6 +98,20 @@
         """
         return self._heard_s.get(address, default_s)
 
+    def is_handing_over(self, address):
+        """
+        Tell whether a process that stops waits for a successor in its seat.
+
+        Parameters
+        ----------
+        address : str
+
+        Returns
+        -------
+        bool
+        """
+        return address in self._handing_over
+
     def known(self):
         """Give the addresses of all that were heard, or that others have told of."""
         return self._heard_s.keys() | self._told_s.keys()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -123,6 +123,7 @@
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
         self._seat_scope = None
+        self._hands_over = False
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """
@@ -357,8 +358,36 @@
         # in the older file still lead to the others.
         await self._keep_record(seat=replica.seat, joining=None)
 
+    async def hand_over(self, timeout_s):
+        """
+        Have a process without a seat take this one's, before this process stops.
+
+        A machine that is taken away for good after its successor was started would
+        leave the state on one disk less until the successor noticed its silence.
+
+        Parameters
+        ----------
+        timeout_s : float
+        """
+        if self.replica is None or not self.replica.is_ready or not self._has_spare():
+            return
+        seat = self.replica.seat
+        log_event("seat-handed-over", seat=seat)
+        self._hands_over = self.replica.yields = True
+        with trio.move_on_after(timeout_s):
+            await self._greet_all()
+            while self._seats.seat_at(self.address) == seat:
+                await trio.sleep(_FIRST_GREET_S)
+            log_event("seat-given", seat=seat, holder=self._seats.holders[seat].address)
+            return
+        log_event("seat-kept", level="warning", seat=seat, after_s=timeout_s)
+
+    def _has_spare(self):
+        held = self._seats.addresses()
+        return any(address not in held for address in self.live_controls())
+
     def _look_for_seat(self, nursery):
-        if trio.current_time() < self._sit_after_s:
+        if self._hands_over or trio.current_time() < self._sit_after_s:
             return
         seat = self._seats.seat_at(self.address) or self._seat_to_take()
         if seat is not None:
@@ -385,6 +414,7 @@
             seat
             for seat, holder in self._seats.holders.items()
             if not holder.is_vacant
+            and not self.heard.is_handing_over(holder.address)
             and now - self.heard.at_s(holder.address, self._started_s) <= VACANT_S
         }
 
@@ -403,6 +433,7 @@
             "seats": self._seats.to_json(),
             "nonce": self._told_nonce(),
             "withdrawn": self._told_withdrawn(),
+            "hands_over": self._hands_over,
         }
         try:
             reply = await self._client.json(
@@ -449,6 +480,7 @@
             **self.say(),
             "nonce": self._told_nonce(),
             "withdrawn": self._told_withdrawn(),
+            "hands_over": self._hands_over,
         }
 
     def _told_withdrawn(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_deployment.py
@@ -161,6 +161,13 @@
                     self.disks[key] = self.disks[key].copy()
                     self.disks[key].crash(self.rng)
 
+    async def stop(self, number, wipe=False):
+        """Stop a process as planned; with ``wipe`` its machine is taken away."""
+        control = self.running[number]
+        await control.hand_over()
+        await control.stop()
+        self.kill(number, wipe)
+
     async def found(self):
         """Start the three founders of three seats."""
         for number in (1, 2, 3):
