Remove the texts of replaced tables from the durable state

Cause: the text of each version stood in a register of its own, and nothing removed one. Change: the first live holder of a seat removes texts that are not newer than the table in force and were replaced five seconds before. Failing first (removal taken out): test_texts_of_replaced_tables_do_not_pile_up, 60 texts in place of 1.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/routed/control.py
@@ -12,6 +12,7 @@
 from gooseberryyoke_daemon.routed.node import Node
 from gooseberryyoke_daemon.seats.keeper import SeatFolders, SeatKeeper
 from gooseberryyoke_daemon.seats.stored import SeatFile
+from gooseberryyoke_daemon.tables.sweeper import TextSweeper
 
 __all__ = ["Control"]
 
@@ -71,6 +72,7 @@
             GatewayListStore(self.registers),
         )
         self.load = ControlLoad()
+        self._sweeper = TextSweeper(self.registers, self.node.news, self.keeper, rng)
         # Servers report to one control process, and entries to some. Who follows one
         # of the others must hear of all, and one that has just started does so at once.
         self._links = Links(
@@ -92,6 +94,7 @@
             await nursery.start(self.keeper.run)
             await nursery.start(self.node.run)
             await nursery.start(self._links.run)
+            nursery.start_soon(self._sweeper.run)
             task_status.started()
             log_event("started", role="control")
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -1,5 +1,7 @@
 """Finds the other control processes, and the seat of this one."""
 
+from itertools import takewhile
+
 import trio
 
 from gooseberryyoke.seat import (
@@ -509,6 +511,42 @@
         """
         return None if self.replica is None else self.replica.seat
 
+    def is_first_holder(self):
+        """
+        Tell whether this process does what one process does for all.
+
+        Returns
+        -------
+        bool
+            Whether it votes, and no other live holder of a seat comes before it. At
+            times two processes take themselves for the first.
+        """
+        if self.replica is None or not self.replica.is_ready:
+            return False
+        held = self._seats.addresses()
+        holders = (address for address in self.live_controls() if address in held)
+        return next(holders, None) == self.address
+
+    def stored_versions(self, prefix):
+        """
+        List the registers that the replica of this process holds.
+
+        Parameters
+        ----------
+        prefix : str
+            Of the keys.
+
+        Returns
+        -------
+        dict of str to int
+            Version of each, by key.
+        """
+        if self.replica is None or self.replica.acceptor is None:
+            return {}
+        slots = self.replica.acceptor.state.slots
+        keys = takewhile(lambda key: key.startswith(prefix), slots.irange(prefix))
+        return {key: slots[key].cell.version for key in keys}
+
     def live_controls(self):
         """
         List the control processes that answered lately, this one included.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/store.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/store.py
@@ -11,6 +11,7 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke.register import Conflict, Unavailable
 from gooseberryyoke.routing.table_view import TableIndex
+from gooseberryyoke.routing.text_retention import text_key
 from gooseberryyoke_daemon.logs import log_event
 
 __all__ = [
@@ -124,7 +125,7 @@
 
     async def _put_text(self, index, text):
         written = await self._registers.write(
-            _text_key(index), 0, pack_text(text), _OPERATION_S
+            text_key(index), 0, pack_text(text), _OPERATION_S
         )
         if isinstance(written, Failure) and isinstance(written.failure(), Conflict):
             # The same text was stored before, by a call whose answer was lost.
@@ -185,7 +186,7 @@
         def unpack(value):
             return None if value is None else unpack_text(value, index.digest)
 
-        key = _text_key(index)
+        key = text_key(index)
         deadline_s = current_time() + _OPERATION_S
         found = await self._registers.fetch(key, unpack, _OPERATION_S / 3)
         if isinstance(found, Success):
@@ -215,10 +216,6 @@
     return None if versioned.value is None else TableIndex(*versioned.value)
 
 
-def _text_key(index):
-    return f"table/text/{index.version}-{index.digest}"
-
-
 def pack_text(text):
     """
     Make a table's text short, for registers and messages.
