Let no key in where the list of accounts is empty, and take any number of headers

A configuration that takes the last account away opened all routes to any key: keys were checked only if there were accounts. Only a table without the list needs no keys now. Requests with 65 and more short headers, well within max_header_bytes, got 431: the process's own limit on their number, of which callers are told nothing. The gateway takes as many as a head of 16 KiB can have; the limit in bytes stays.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/identify.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/identify.py
@@ -50,7 +50,7 @@
         route = exchange.route = table.match(host, path)
         if route is None:
             return _refuse(404, "no-route", f"no route for {host}{path}")
-        if table.accounts and not route.is_public:
+        if table.requires_keys and not route.is_public:
             exchange.account = table.account_of(_key_of(req))
             if exchange.account is None:
                 return _refuse(401, "unknown-key", "the key is of no client account")
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/node.py
@@ -28,6 +28,8 @@
 """Idle connections stay open for this many times what callers count on, so that no
 request crosses the closing of its connection."""
 _GRACE_S = 1.0
+_MOST_HEADERS = 4096
+"""As many as a head of 16 KiB can have: callers are told of a limit in bytes only."""
 
 
 class GatewayStop:
@@ -124,7 +126,8 @@
                 ),
             ]
         )
-        self._server = HttpServer(self.handle, Limits(), self._held)
+        limits = Limits(header_count=_MOST_HEADERS)
+        self._server = HttpServer(self.handle, limits, self._held)
         self.is_leaving = False
 
     @property
--- a/packages/gooseberryyoke/src/gooseberryyoke/routing/table.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/routing/table.py
@@ -17,8 +17,9 @@
         Routes of the table.
     services : iterable of RoutedService
         Services that the routes refer to.
-    accounts : iterable of ClientAccount
-        Client accounts. If there are none, no request needs a key.
+    accounts : iterable of ClientAccount or None
+        Client accounts. With None no request needs a key; with an empty list none has
+        the one that it needs.
     limits : CallerLimits, optional
         Limits on the connections of callers.
 
@@ -33,16 +34,18 @@
         "routes",
         "services",
         "accounts",
+        "requires_keys",
         "limits",
         "_by_prefix",
         "_by_key",
     )
 
-    def __init__(self, version, routes, services, accounts=(), limits=None):
+    def __init__(self, version, routes, services, accounts=None, limits=None):
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.name: service for service in services}
-        self.accounts = tuple(accounts)
+        self.requires_keys = accounts is not None
+        self.accounts = tuple(accounts or ())
         self.limits = limits or CallerLimits()
         self._by_prefix = {
             (route.host, route.path_prefix): route for route in self.routes
