Ignore an announcement that another server sends under a known id

Cause: announcements of one incarnation were ordered by sequence alone. Change: an incarnation keeps its service and address; an announcement that names others is logged and ignored. One that doesn't state its start is taken as before. Not covered: one that comes before the engine's first own, or copies its service and address.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -128,6 +128,16 @@
         Departure or None
             What has to be settled before the announcement is acknowledged.
         """
+        if self.servers.contradicts(entry):
+            log_event(
+                "announcement-contradicts",
+                level="warning",
+                server=entry.id,
+                service=entry.service,
+                address=entry.address,
+                born_ms=entry.born_ms,
+            )
+            return None
         self._take_announced(entry)
         if entry.state is ServerState.READY:
             return None
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/tests/test_acknowledged_departures.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/tests/test_acknowledged_departures.py
@@ -177,6 +177,19 @@
     run_controls(main, call_s=0.002)
 
 
+def test_another_s_word_does_not_make_a_running_server_leave():
+    # Guards against a server that is left out as somebody else announces under its id
+    # that it drains.
+    async def main(deployment):
+        gateways = await begin(deployment)
+        forged = entry("i-1", 900, DRAINING).replace(service="other")
+        assert deployment.running[2].node.announce(forged) is None
+        await trio.sleep(1.0)
+        assert all(used(g) == set(SERVERS) for g in gateways)
+
+    run_controls(main)
+
+
 def test_a_departure_is_written_once_however_often_a_server_says_so():
     # Guards against a write to the disks of a majority with each heartbeat of each
     # server that drains.
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
@@ -207,6 +207,8 @@
             Whether anything but the sequence number has changed. A cold time that ends
             as reported before is no change.
         """
+        if self.contradicts(entry):
+            return False
         entry = self.departures.apply_to(entry)
         known = self.entries.get(entry.id)
         if known is not None and known.order_key >= entry.order_key:
@@ -220,6 +222,29 @@
         self._store(entry, now, is_change)
         return is_change
 
+    def contradicts(self, entry):
+        """
+        Return whether an announcement is another server's under a known id.
+
+        An incarnation keeps its service and its address. An announcement that names
+        others was not sent by it, and would keep its own announcements out by a higher
+        sequence number.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The announcement.
+
+        Returns
+        -------
+        bool
+            False if the announcement does not state its incarnation.
+        """
+        known = self.entries.get(entry.id)
+        if known is None or not entry.born_ms or known.born_ms != entry.born_ms:
+            return False
+        return (known.service, known.address) != (entry.service, entry.address)
+
     def _merge_cold_report(self, entry, known, now):
         """Merge the cold report; return whether followers have to be notified."""
         report = LocalColdReport.from_report(entry.cold, now)
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_server_registry.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_server_registry.py
@@ -1,3 +1,5 @@
+import pytest
+
 from gooseberryyoke.membership.server_registry import (
     RankPlace,
     ServerEntry,
@@ -70,6 +72,25 @@
     assert not registry.end("i-unknown", None, 1.0)
 
 
+@pytest.mark.parametrize("changes", [{"service": "other"}, {"address": "10.0.0.9:80"}])
+def test_another_s_announcement_does_not_replace_a_running_server(changes):
+    # Guards against a server that gets no requests, and whose own heartbeats are
+    # ignored, after somebody else has announced its id with a high sequence number.
+    registry = ServerRegistry()
+    registry.apply(entry(sequence=3), 0.0)
+    assert not registry.apply(entry(sequence=900, **changes), 1.0)
+    assert registry.entries["i-1"] == entry(sequence=3)
+    registry.apply(entry(sequence=4, state=DRAINING), 2.0)
+    assert registry.entries["i-1"].state is DRAINING
+    assert registry.apply(entry(born_ms=200, **changes), 3.0)
+
+
+def test_a_server_without_a_stated_start_may_come_back_elsewhere():
+    registry = ServerRegistry()
+    registry.apply(entry(born_ms=0, sequence=3), 0.0)
+    assert registry.apply(entry(born_ms=0, sequence=4, address="10.0.0.9:80"), 1.0)
+
+
 def test_followers_are_notified_of_changes_but_not_of_each_heartbeat():
     registry = ServerRegistry()
     registry.apply(entry(sequence=1), 0.0)
