Give the seat record a keeper of its own, and the soaks one way to ask

Two soaks sent and counted requests in the same words; RoutedSoak does. The line server-departs had two places.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -12,7 +12,7 @@
 from gooseberryyoke_daemon.control.gateway_list import GatewayListKeeper
 from gooseberryyoke_daemon.control.observer import ControlObserver
 from gooseberryyoke_daemon.control.presence import Roster
-from gooseberryyoke_daemon.departures import DepartureKeeper
+from gooseberryyoke_daemon.departures import DepartureKeeper, log_departure
 from gooseberryyoke_daemon.evacuations import EvacuationProbe, ToldEvacuations
 from gooseberryyoke_daemon.lazy_metrics import METRICS_MODULE
 from gooseberryyoke_daemon.logs import log_event
@@ -273,12 +273,7 @@
             if not self.servers.depart(departure, now):
                 continue
             self._feed.tell_departure(departure)
-            log_event(
-                "server-departs",
-                server=departure.id,
-                state=departure.state.value,
-                born_ms=departure.born_ms,
-            )
+            log_departure(departure)
 
     def hear_stored(self, key, value):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/store.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/store.py
@@ -10,7 +10,7 @@
 from gooseberryyoke_daemon.clock import Clock
 from gooseberryyoke_daemon.logs import log_event
 
-__all__ = ["DepartureStore", "decode_departures"]
+__all__ = ["DepartureStore", "decode_departures", "log_departure"]
 
 _PREFIX = "departures/"
 _UNSEATED_LISTS = 8
@@ -121,6 +121,22 @@
     return departures
 
 
+def log_departure(departure):
+    """
+    Log that this process has heard of a departure.
+
+    Parameters
+    ----------
+    departure : Departure
+    """
+    log_event(
+        "server-departs",
+        server=departure.id,
+        state=departure.state.value,
+        born_ms=departure.born_ms,
+    )
+
+
 def _decode(value):
     return DepartureList.from_json(value, _log_unreadable)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -18,6 +18,7 @@
     median_latency,
     reservable_slots,
 )
+from gooseberryyoke_daemon.departures import log_departure
 from gooseberryyoke_daemon.gateway.cold_servers import ColdServers
 from gooseberryyoke_daemon.gateway.group_limits import GroupLimits
 from gooseberryyoke_daemon.gateway.peers import Peers
@@ -197,12 +198,7 @@
         now = trio.current_time()
         news = [d for d in departures if self._book.depart(d, now)]
         for departure in news:
-            log_event(
-                "server-departs",
-                server=departure.id,
-                state=departure.state.value,
-                born_ms=departure.born_ms,
-            )
+            log_departure(departure)
         if news:
             self._refresh(now)
 
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -15,7 +15,7 @@
 from gooseberryyoke_daemon.replica import Replica
 from gooseberryyoke_daemon.seats.founding import Founding, VoteLost
 from gooseberryyoke_daemon.seats.heard import VACANT_S, HeardControls
-from gooseberryyoke_daemon.seats.stored import SeatRecord
+from gooseberryyoke_daemon.seats.record_keeper import RecordKeeper
 from gooseberryyoke_daemon.storage import DiskFailed
 from gooseberryyoke_daemon.wire import Address, WireError
 
@@ -112,16 +112,14 @@
         self._peers = peers
         self._client = client
         self._disk = folders.registers
-        self._file = folders.seat_file
         self._vote_disk = folders.vote
         self._rng = rng
         self._is_first_start = founding
         self._size = size
         self._on_seats = on_seats
         self._on_stored = on_stored
-        self._record = SeatRecord()
+        self._saved = RecordKeeper(folders.registers, folders.seat_file, seats)
         self._is_candidate = False
-        self._record_lock = trio.Lock()
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
         self._seat_scope = None
@@ -137,33 +135,33 @@
             Told at once.
         """
         self._started_s = trio.current_time()
-        self._record = await self._disk.run(self._file.load)
-        if self._seats.merge(self._record.seats):
+        await self._saved.load()
+        if self._seats.merge(self._saved.record.seats):
             self._on_seats()
-        if self._record.seat is None:
-            await self._withdraw(self._record.joining)
+        if self._saved.record.seat is None:
+            await self._saved.withdraw(self._saved.record.joining)
         async with trio.open_nursery() as nursery:
             task_status.started()
-            if self._record.seat is not None:
-                self._sit(self._record.seat, nursery)
+            if self._saved.record.seat is not None:
+                self._sit(self._saved.record.seat, nursery)
             nursery.start_soon(self._found)
             await self._keep_in_touch(nursery)
 
     async def _found(self):
         """Take part in founding the deployment, until its seats are known."""
         self._is_candidate = not await self._disk.run(self._disk.names)
-        while self._record.nonce is None:
+        while self._saved.record.nonce is None:
             electors = self._contacts() if self._is_first_start else ()
-            await self._keep_record(nonce=self._new_nonce(), electors=electors)
+            await self._saved.save(nonce=self._new_nonce(), electors=electors)
         while not self._seats.holders:
-            if self.address in self._record.electors:
-                await self._vote(self._record.electors)
+            if self.address in self._saved.record.electors:
+                await self._vote(self._saved.record.electors)
             elif self._may_elect_anew():
                 await self._vote_anew()
             else:
                 await trio.sleep(_FIRST_GREET_S)
         self._is_candidate = False
-        await self._keep_record()
+        await self._saved.save()
 
     async def _vote(self, electors):
         size = self._size or len(electors)
@@ -181,7 +179,7 @@
             if self._seats.holders:
                 self._on_seats()
         except* VoteLost:
-            await self._keep_record_surely(electors=())
+            await self._saved.save_surely(electors=())
             log_event("founding-vote-lost", level="error")
         finally:
             self.founding = None
@@ -195,7 +193,7 @@
             await trio.sleep(_DISK_PAUSE_S)
             return
         log_event("founding-vote-anew", level="warning")
-        await self._keep_record_surely(electors=self._contacts())
+        await self._saved.save_surely(electors=self._contacts())
 
     def _may_elect_anew(self):
         contacts = self._contacts()
@@ -209,28 +207,12 @@
         """List the processes with an empty folder that were heard of lately."""
         nonces = self.heard.nonces(trio.current_time())
         if self._is_candidate:
-            nonces[self.address] = self._record.nonce
+            nonces[self.address] = self._saved.record.nonce
         return [Candidate(address, nonce) for address, nonce in nonces.items()]
 
     def _new_nonce(self):
         return f"{self._rng.getrandbits(64):016x}"
 
-    async def _keep_record(self, **changes):
-        """Save the record with some changes; after a failure it stays as it was."""
-        async with self._record_lock:
-            record = self._record.replace(seats=self._seats.to_json(), **changes)
-            if record == self._record:
-                return True
-            try:
-                await self._disk.run(self._file.save, record)
-            except OSError as exc:
-                # The older file holds until the next change, or the next round.
-                log_event("seat-file-unsaved", level="error", why=str(exc))
-                await trio.sleep(_DISK_PAUSE_S)
-                return False
-            self._record = record
-            return True
-
     async def _keep_in_touch(self, nursery):
         while True:
             await self._greet_all()
@@ -260,8 +242,8 @@
             founders=founders,
             forget_founders=self._renew_nonce,
             on_joining=self._keep_seat,
-            on_confirming=self._keep_joining,
-            on_withdrawn=self._withdraw,
+            on_confirming=self._saved.note_asking,
+            on_withdrawn=self._saved.withdraw,
             withdrawn=self._all_withdrawn,
             on_stored=self._on_stored,
         )
@@ -272,9 +254,9 @@
     def _founders_with(self, seat):
         """Give the founders if this process, with this folder, is the one of a seat."""
         holder = self._seats.holders.get(seat)
-        if holder is None or self._record.nonce is None:
+        if holder is None or self._saved.record.nonce is None:
             return None
-        own = Holder(founder_incarnation(self._record.nonce), self.address)
+        own = Holder(founder_incarnation(self._saved.record.nonce), self.address)
         if holder != own:
             return None
         return {
@@ -285,39 +267,14 @@
 
     async def _renew_nonce(self):
         """Make sure that this process never begins as a founder again."""
-        await self._keep_record_surely(nonce=self._new_nonce())
+        await self._saved.save_surely(nonce=self._new_nonce())
 
     async def _keep_seat(self, seat):
         """Make sure that this process takes this seat again when it is back."""
-        await self._keep_record_surely(seat=seat)
-
-    async def _keep_joining(self, incarnation):
-        """Make sure that this process can withdraw what it asks others to confirm."""
-        await self._keep_identities(self._record.asking(incarnation))
-
-    async def _withdraw(self, incarnation):
-        """
-        Tell all others that an identity has not joined, and never will.
-
-        Those that confirmed it don't know how many others have. While nobody can tell,
-        the former holder of the seat must not vote again.
-        """
-        await self._keep_identities(self._record.withdrawing(incarnation))
-
-    async def _keep_identities(self, record, **changes):
-        if record.withdrawn != self._record.withdrawn:
-            generation = record.withdrawn[-1].generation
-            log_event("seat-withdrawn", level="warning", generation=generation)
-        await self._keep_record_surely(
-            joining=record.joining, withdrawn=record.withdrawn, **changes
-        )
+        await self._saved.save_surely(seat=seat)
 
     def _all_withdrawn(self):
-        return self.heard.withdrawn.union(self._record.withdrawn)
-
-    async def _keep_record_surely(self, **changes):
-        while not await self._keep_record(**changes):
-            pass
+        return self.heard.withdrawn.union(self._saved.record.withdrawn)
 
     async def _leave_seat(self):
         """
@@ -331,8 +288,7 @@
         while self.replica is not None:
             await trio.sleep(_FIRST_GREET_S)
         # In this order: an empty folder under the old seat would take it back.
-        left = self._record.leaving(replica.unjoined)
-        await self._keep_identities(left, seat=None, nonce=self._new_nonce())
+        await self._saved.leave_seat(replica.unjoined, self._new_nonce())
         try:
             await self._disk.run(self._disk.set_aside, "taken-over")
         except OSError as exc:
@@ -358,7 +314,7 @@
             self._on_seats()
         # If this fails it is tried again with the next round; until then the addresses
         # in the older file still lead to the others.
-        await self._keep_record(seat=replica.seat, joining=None)
+        await self._saved.save(seat=replica.seat, joining=None)
 
     async def hand_over(self, timeout_s):
         """
@@ -434,7 +390,7 @@
             "address": self.address,
             "seats": self._seats.to_json(),
             "nonce": self._told_nonce(),
-            "withdrawn": self._told_withdrawn(),
+            "withdrawn": self._saved.told_withdrawn(),
             "hands_over": self._hands_over,
         }
         try:
@@ -481,15 +437,12 @@
         return {
             **self.say(),
             "nonce": self._told_nonce(),
-            "withdrawn": self._told_withdrawn(),
+            "withdrawn": self._saved.told_withdrawn(),
             "hands_over": self._hands_over,
         }
 
-    def _told_withdrawn(self):
-        return [identity.as_list() for identity in self._record.withdrawn]
-
     def _told_nonce(self):
-        return self._record.nonce if self._is_candidate else None
+        return self._saved.record.nonce if self._is_candidate else None
 
     def say(self):
         """
--- a/tools/soak/departure_soak.py
+++ b/tools/soak/departure_soak.py
@@ -13,8 +13,6 @@
 
 __all__ = ["DepartureSoak", "Left", "LeavingEngine", "arrivals_after_leaving"]
 
-_REQUESTS_A_SECOND = 40
-_CALM_REQUESTS = 100
 _DRAIN_S = 2.0
 _CONTACT_S = 3.0
 """After the last process is back, until the bound of a departure holds."""
@@ -154,11 +152,6 @@
     def _goes_on(self):
         return trio.current_time() < self._started_s + self._seconds
 
-    async def _send_for_ever(self, nursery):
-        while True:
-            nursery.start_soon(self._deployment.ask)
-            await trio.sleep(1 / _REQUESTS_A_SECOND)
-
     async def _leave_and_return(self, engine, nursery):
         while self._goes_on():
             await trio.sleep(self._rng.uniform(*_READY_S))
@@ -213,20 +206,7 @@
     async def _calm(self):
         await self._deployment.wait_until_ready()
         await trio.sleep(_CONTACT_S)
-        answers = []
-
-        async def ask():
-            answers.append(await self._deployment.ask())
-
-        async with trio.open_nursery() as nursery:
-            for _ in range(_CALM_REQUESTS):
-                nursery.start_soon(ask)
-                await trio.sleep(1 / _REQUESTS_A_SECOND)
-        missing = _CALM_REQUESTS - sum(answers)
-        faults = [f"{missing} of {_CALM_REQUESTS} without an answer"] * (missing > 0)
-        self.result.points.append(
-            Point("after the faults: requests are answered", faults)
-        )
+        await self._check_answered()
 
     def _check(self):
         faults = []
--- a/tools/soak/evacuation_soak.py
+++ b/tools/soak/evacuation_soak.py
@@ -16,8 +16,6 @@
 
 __all__ = ["EvacuationSoak", "ReturnCold", "SentOrder", "arrivals_after"]
 
-_REQUESTS_A_SECOND = 40
-_CALM_REQUESTS = 100
 _ACK_TIMEOUT_S = 5.0
 _IN_FORCE_S = 5.0
 """After the acknowledgement nothing may arrive in the data centre from then on."""
@@ -124,11 +122,6 @@
                     nursery.start_soon(self._apply_at, at_s, self._draw())
             callers.cancel_scope.cancel()
 
-    async def _send_for_ever(self, nursery):
-        while True:
-            nursery.start_soon(self._deployment.ask)
-            await trio.sleep(1 / _REQUESTS_A_SECOND)
-
     async def _operate(self, nursery):
         end_s = self._started_s + self._seconds
         while trio.current_time() < end_s:
@@ -205,11 +198,7 @@
         )
         await trio.sleep(_IN_FORCE_S)
         begun_s = trio.current_time()
-        answered = await self._count_answered()
-        faults = [f"{answered} of {_CALM_REQUESTS}"] * (answered < _CALM_REQUESTS)
-        self.result.points.append(
-            Point("after the faults: requests are answered", faults)
-        )
+        await self._check_answered()
         served = {
             e.zone for e in self._deployment.engines if e.arrivals[-1:] > [begun_s]
         }
@@ -218,18 +207,6 @@
             Point("after the end of its evacuation a data centre gets requests", faults)
         )
 
-    async def _count_answered(self):
-        answers = []
-
-        async def ask():
-            answers.append(await self._deployment.ask())
-
-        async with trio.open_nursery() as nursery:
-            for _ in range(_CALM_REQUESTS):
-                nursery.start_soon(ask)
-                await trio.sleep(1 / _REQUESTS_A_SECOND)
-        return sum(answers)
-
     def _check(self):
         faults, latest_s = [], 0.0
         for zone in ZONES:
--- a/tools/soak/routed_soak.py
+++ b/tools/soak/routed_soak.py
@@ -8,6 +8,9 @@
 
 __all__ = ["RoutedSoak"]
 
+_REQUESTS_A_SECOND = 40
+_CALM_REQUESTS = 100
+
 
 class RoutedSoak:
     """
@@ -82,6 +85,29 @@
         after_s = trio.current_time() - self._started_s
         self.result.events.append(f"{after_s:6.2f} s  {text}")
 
+    async def _send_for_ever(self, nursery):
+        """Send requests until cancelled."""
+        while True:
+            nursery.start_soon(self._deployment.ask)
+            await trio.sleep(1 / _REQUESTS_A_SECOND)
+
+    async def _check_answered(self):
+        """Send requests in calm, and check that all are answered."""
+        answers = []
+
+        async def ask():
+            answers.append(await self._deployment.ask())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(_CALM_REQUESTS):
+                nursery.start_soon(ask)
+                await trio.sleep(1 / _REQUESTS_A_SECOND)
+        answered = sum(answers)
+        faults = [f"{answered} of {_CALM_REQUESTS}"] * (answered < _CALM_REQUESTS)
+        self.result.points.append(
+            Point("after the faults: requests are answered", faults)
+        )
+
     async def _apply_at(self, at_s, fault):
         await trio.sleep_until(self._started_s + at_s)
         await self._apply(fault)
