Settle a departure anew for a server that still drains, and remove texts once

Found when the whole change was read once more. It is settled anew after a minute, with the new time in the list. That is tried only while the holders of all seats are heard of, and once in 30 s for each text. Failing first: three new cases (one each in test_acknowledged_departures.py, test_removed_texts.py, test_departure.py).

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/keeper.py
@@ -13,6 +13,8 @@
 control process."""
 _WRITE_S = 0.9
 _RETRY_S = 0.3
+_RENEW_S = DEPARTURE_LISTED_S / 2
+"""After a departure was settled, it is settled anew for a server that still says so."""
 
 
 class DepartureKeeper:
@@ -67,8 +69,9 @@
         self._wanted.set()
 
     def _is_settled(self, departure):
-        born_ms, _ = self._settled.get(departure.id, (-1, 0.0))
-        return departure.born_ms <= born_ms
+        born_ms, settled_s = self._settled.get(departure.id, (-1, 0.0))
+        is_recent = current_time() - settled_s < _RENEW_S
+        return departure.born_ms <= born_ms and is_recent
 
     def _note(self, departure, is_settled, after_s):
         self._on_answer(is_settled, after_s)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/tests/test_acknowledged_departures.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/departures/tests/test_acknowledged_departures.py
@@ -205,6 +205,26 @@
     run_controls(main)
 
 
+def test_a_server_that_drains_for_long_is_still_known_after_the_loss_of_everything():
+    # Guards against heartbeats that are acknowledged from memory while the departure
+    # that was settled first is too old to be read back.
+    async def main(deployment):
+        await begin(deployment, gateways=1)
+        for sequence in range(10, 210):
+            node = deployment.running[1].node
+            assert await node.settle(node.announce(entry("i-1", sequence, DRAINING)))
+            await trio.sleep(1.0)
+        for number in (1, 2, 3):
+            deployment.kill(number)
+        for number in (1, 2, 3):
+            await deployment.start(number)
+        await deployment.until_ready(1, 2, 3)
+        for number in (1, 2, 3):
+            assert deployment.running[number].node.servers.departures.covers("i-1", 100)
+
+    run_controls(main)
+
+
 def test_departures_are_dropped_once_nobody_can_need_them():
     # Guards against lists that grow with each server that ever left.
     async def main(deployment):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -480,7 +480,12 @@
         holders = (address for address in self.live_controls() if address in held)
         return next(holders, None) == self.address
 
-    def stored_versions(self, prefix):
+    def hears_all_seats(self):
+        """Tell whether the holders of all other seats were heard of lately."""
+        others = self._seats.holders.keys() - {self.seat()}
+        return others <= self._heard_seats()
+
+    def stored_cells(self, prefix):
         """
         List the registers that the replica of this process holds.
 
@@ -491,14 +496,14 @@
 
         Returns
         -------
-        dict of str to int
-            Version of each, by key.
+        dict of str to Cell
+            By key.
         """
         if self.replica is None or self.replica.acceptor is None:
             return {}
         slots = self.replica.acceptor.state.slots
         keys = takewhile(lambda key: key.startswith(prefix), slots.irange(prefix))
-        return {key: slots[key].cell.version for key in keys}
+        return {key: slots[key].cell for key in keys}
 
     def live_controls(self):
         """
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/sweeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/sweeper.py
@@ -48,14 +48,28 @@
                 await self._sweep(self._news.index)
 
     async def _sweep(self, index):
-        stored = self._keeper.stored_versions(text_prefix())
+        stored = self._removable()
         removed = 0
         for key in self._retention.due(stored, index, current_time()):
-            collected = await self._registers.collect(key, stored[key], _OPERATION_S)
+            version = stored[key].version
+            collected = await self._registers.collect(key, version, _OPERATION_S)
             if isinstance(collected, Success):
-                removed += 1
+                removed += stored[key].value is not None
             elif not isinstance(collected.failure(), Conflict):
                 # No majority answers; the next look tries again.
                 break
+            self._retention.note_tried(key, current_time())
         if removed:
             log_event("table-texts-removed", count=removed, newest=index.version)
+
+    def _removable(self):
+        """
+        Give the cells of texts that an attempt to remove may do something about.
+
+        What is left of a removed text can be dropped only once each replica is told. To
+        try that while one is away would write to the disks of the others for nothing.
+        """
+        cells = self._keeper.stored_cells(text_prefix())
+        if self._keeper.hears_all_seats():
+            return cells
+        return {key: cell for key, cell in cells.items() if cell.value is not None}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/tests/test_removed_texts.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/tables/tests/test_removed_texts.py
@@ -58,6 +58,37 @@
     run_controls(main)
 
 
+def test_removed_texts_cost_nothing_while_a_machine_is_away():
+    # Guards against texts that are removed again and again, on the disks of all that
+    # are left, for as long as one replica can't be told.
+    async def main(deployment):
+        await deployment.found()
+        deployment.kill(3)
+        await change_often(deployment, 1)
+        await trio.sleep(20.0)
+        before = written(deployment)
+        await trio.sleep(60.0)
+        assert written(deployment) == before
+        await deployment.start(3)
+        await trio.sleep(60.0)
+        # The third was away when the newest text was stored.
+        assert [stored(deployment, number) for number in (1, 2, 3)] == [1, 1, 0]
+
+    run_controls(main)
+
+
+def stored(deployment, number):
+    """Count the texts of a process's replica, and what is left of removed ones."""
+    return len(deployment.running[number].keeper.stored_cells(text_prefix()))
+
+
+def written(deployment):
+    """Count the records that the first two processes have written."""
+    return sum(
+        deployment.running[number].keeper.replica.journal.position for number in (1, 2)
+    )
+
+
 def test_a_late_start_gets_the_newest_text_while_older_ones_are_removed():
     # Guards against a text that is removed under a process which has just been told of
     # it, or of the one before.
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/departure_list.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/departure_list.py
@@ -47,7 +47,8 @@
         latest = {}
         for departure in known:
             other = latest.get(departure.id, departure)
-            latest[departure.id] = max(other, departure, key=_order_key)
+            # Of two that state the same, the one added last, with its time.
+            latest[departure.id] = max(departure, other, key=_order_key)
         oldest_ms = now_ms - 1000 * DEPARTURE_LISTED_S
         recent = [d for d in latest.values() if known[d] > oldest_ms]
         return DepartureList({departure: known[departure] for departure in recent})
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_departure.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_departure.py
@@ -120,6 +120,14 @@
     assert later.add([departure("i-1", 100)], 130_000).departures[0].born_ms == 200
 
 
+def test_a_departure_that_is_stated_again_is_listed_from_then_on():
+    # Guards against the time of the first heartbeat that said so.
+    again = departure(sequence=9, state=DRAINING)
+    listed = DepartureList().add([departure(state=DRAINING)], 1_000)
+    listed = listed.add([again], 100_000)
+    assert listed.add([], 200_000).departures == [again]
+
+
 def test_a_list_of_a_clock_that_is_ahead_ages_all_the_same():
     ahead = DepartureList().add([departure()], 9_000_000)
     listed = ahead.add([], 1_000)
--- a/packages/gooseberryyoke/src/gooseberryyoke/routing/text_retention.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/routing/text_retention.py
@@ -5,6 +5,8 @@
 _KEPT_S = 5.0
 """After its replacement, in seconds. Processes use an index that a majority confirmed
 up to two seconds ago, and then load its text within a second."""
+_AGAIN_S = 30.0
+"""Between two attempts to remove a text, in seconds."""
 _PREFIX = "table/text/"
 
 
@@ -32,10 +34,24 @@
 class TextRetention:
     """Tells which texts nobody can need any more."""
 
-    __slots__ = ("_replaced_s",)
+    __slots__ = ("_replaced_s", "_tried_s")
 
     def __init__(self):
         self._replaced_s = {}
+        self._tried_s = {}
+
+    def note_tried(self, key, now):
+        """
+        Record an attempt to remove a text, which may not have reached all replicas.
+
+        Parameters
+        ----------
+        key : str
+            Key of the text.
+        now : float
+            Current time, in seconds.
+        """
+        self._tried_s[key] = now
 
     def due(self, keys, index, now):
         """
@@ -61,10 +77,15 @@
             key for key in keys if key != current and _version(key) <= index.version
         ]
         self._replaced_s = {key: self._replaced_s.get(key, now) for key in replaced}
+        self._tried_s = {
+            key: tried_s
+            for key, tried_s in self._tried_s.items()
+            if now - tried_s < _AGAIN_S
+        }
         return sorted(
             key
             for key, replaced_s in self._replaced_s.items()
-            if now - replaced_s >= _KEPT_S
+            if now - replaced_s >= _KEPT_S and key not in self._tried_s
         )
 
 
