--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -23,6 +23,7 @@
 HEARTBEAT = "/gooseberryyoke/Instances.Heartbeat/"
 LEAVE = "/gooseberryyoke/Instances.Leave/"
 SIGNATURE = "X-Gooseberryyoke-Server-Signature"
+_CONTRACTS = "base drain config cost retry recover engine stream tenants"
 _SETTINGS = """\
 node_name = "{name}"
 role = "{role}"
@@ -38,7 +39,7 @@
 {data}discovery = "registration"
 entry = "directory"
 heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","engine","stream","tenants"]
+contracts = {contracts}
 config_source = "highest"
 
 [zones]
@@ -96,13 +97,15 @@
     """Notes what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, path):
-        self._file = Path(path).open("w", encoding="utf-8")
+        self._path = Path(path)
+        self._path.write_text("", encoding="utf-8")
         self._start_s = time.monotonic()
 
     def note(self, *words):
+        """Add a line."""
         line = f"{time.monotonic() - self._start_s:8.3f} " + " ".join(map(str, words))
-        self._file.write(line + "\n")
-        self._file.flush()
+        with self._path.open("a", encoding="utf-8") as out:
+            out.write(line + "\n")
         print(line, flush=True)
 
 
@@ -122,9 +125,7 @@
         {**base, "name": "issue", "path_prefix": "/issue/"}
         | {"kind": "non_idempotent", "max_attempts": 1},
     ]
-    more = [
-        {**first[0], "name": name, "path_prefix": f"/{name}/"} for name in routes
-    ]
+    more = [{**first[0], "name": name, "path_prefix": f"/{name}/"} for name in routes]
     return {
         "version": version,
         "routes": first + more,
@@ -203,6 +204,7 @@
             counted=str(is_control).lower(),
             data=data,
             listen=listen,
+            contracts=json.dumps(_CONTRACTS.split()),
         )
         (self.folder / f"{name}.toml").write_text(text, encoding="utf-8")
 
@@ -219,6 +221,7 @@
         self.record.note("disk lost", name)
 
     def signal(self, name, number):
+        """Send a signal to a process."""
         self.running[name].send_signal(number)
         self.record.note(signal.Signals(number).name, name)
 
@@ -284,7 +287,7 @@
         return await asyncio.wait_for(
             _exchange(host, port, method, path, headers, body), timeout_s
         )
-    except (OSError, EOFError, ValueError, TimeoutError, asyncio.TimeoutError):
+    except (OSError, EOFError, ValueError, TimeoutError):
         return None, None, b""
 
 
@@ -333,7 +336,7 @@
 
 
 class Engine:
-    """A sound engine of the service ``app``: notes what it runs, and announces itself."""
+    """A sound engine of the service ``app``; notes what it runs."""
 
     def __init__(self, deployment, id, zone, controls):
         self.id = id
@@ -474,7 +477,7 @@
     deployment = Deployment(record)
     try:
         broken = asyncio.run(asyncio.wait_for(case(deployment, has_trouble), 115))
-    except (CaseFailed, OSError, TimeoutError, asyncio.TimeoutError) as exc:
+    except (CaseFailed, OSError, TimeoutError) as exc:
         record.note("could not run:", repr(exc))
         return 2
     finally:
