--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -471,6 +472,8 @@
 
     ``TROUBLE=0`` in the environment leaves the disruption out.
     """
+    # Told to end early, the case still ends what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(Path(folder) / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note("trouble" if has_trouble else "no trouble")
