--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -356,6 +356,10 @@
         host = self._deployment.machine(self.id)
         self._server = await asyncio.start_server(self._serve, host, ENGINE)
 
+    def stop(self):
+        """Take no more requests, as after a crash."""
+        self._server.close()
+
     async def _serve(self, reader, writer):
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
