--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """The core machines are replaced as planned, one after the other."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -57,4 +58,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, Path(__file__).parent))
+    # TROUBLE=0 leaves the disruption out.
+    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, Path(__file__).parent, with_trouble))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A core machine is replaced as planned; another loses its disk meanwhile."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -62,4 +63,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, Path(__file__).parent))
+    # TROUBLE=0 leaves the disruption out.
+    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, Path(__file__).parent, with_trouble))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import sys
 import time
@@ -136,4 +137,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(case, Path(__file__).parent))
+    # TROUBLE=0 leaves the disruption out.
+    with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    sys.exit(run_case(case, Path(__file__).parent, with_trouble))
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -470,16 +470,15 @@
     raise CaseFailed("no free addresses on loopback")
 
 
-def run_case(case, folder):
+def run_case(case, folder, has_trouble):
     """
     Run a case: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-    ``TROUBLE=0`` in the environment leaves the disruption out.
+    Without trouble the case does the same but for the disruption.
     """
     # Told to end early, the case still ends what it has started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(Path(folder) / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note("trouble" if has_trouble else "no trouble")
     deployment = Deployment(record)
     try:
