Show gateways that refuse all requests for good after a group has formed again

Case 8 of the second review, RECOVER. A rank of a group of eight crashes, the others answer 503 with Retry-After, and all processes are killed and started again meanwhile. Once the group is open each engine has to answer one request before it gets more, and the part of the slots that is withheld from a group that has just formed is larger than these places. So nothing is sent any more.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # standard library; the project's programs come from the build of the deploy file.
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
-python3 -m compileall -q "$here/lib-2" "$here/4" "$here/5" "$here/6" "$here/7"
+python3 -m compileall -q "$here/lib-2" "$here/4" "$here/5" "$here/6" "$here/7" "$here/8"
