Leave processes that go out of every choice of one among several

The second and third kept their seats for 4 s and went with them; the configuration that had been acknowledged never came back, and nothing could be stored any more.

Cause: processes without a seat rank themselves among those heard of in the last 10 s and take the free seat of their rank. One that had just left still held a rank, so that the successor took none. The process that does what one does for all was chosen from the same list.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
@@ -31,6 +31,7 @@
         "withdrawn",
         "_address",
         "_handing_over",
+        "_stopping",
         "_heard_s",
         "_told_s",
         "_nonces",
@@ -43,6 +44,7 @@
         self._told_s = {}
         self._nonces = {}
         self._handing_over = set()
+        self._stopping = set()
 
     def note(self, address, payload, now):
         """
@@ -53,8 +55,9 @@
         address : str
         payload : dict
             With ``controls`` that it knows, its ``nonce`` while it may become a
-            founder, the identities that it has ``withdrawn``, and whether it
-            ``hands_over`` its seat. One of an earlier release doesn't tell the last.
+            founder, the identities that it has ``withdrawn``, whether it
+            ``hands_over`` its seat, and whether it ``stops``. One of an earlier release
+            doesn't tell the last two.
         now : float
             In seconds.
 
@@ -68,10 +71,8 @@
         for other in payload.get("controls", ()):
             self._told_s[str(other)] = now
         self._note_nonce(address, payload.get("nonce"))
-        if payload.get("hands_over") is True:
-            self._handing_over.add(address)
-        else:
-            self._handing_over.discard(address)
+        _note_flag(self._handing_over, address, payload.get("hands_over"))
+        _note_flag(self._stopping, address, payload.get("stops"))
         self.withdrawn |= {Incarnation(*i) for i in payload.get("withdrawn", ())}
         return now - before_s > VACANT_S
 
@@ -112,6 +113,23 @@
         """
         return address in self._handing_over
 
+    def staying(self, now):
+        """
+        List those heard of lately that aren't about to end.
+
+        Whoever is chosen for something must still be there to do it.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of str
+        """
+        return [a for a in self.lately(now) if a not in self._stopping]
+
     def known(self):
         """Give the addresses of all that were heard, or that others have told of."""
         return self._heard_s.keys() | self._told_s.keys()
@@ -180,3 +198,10 @@
             for address, at_s in list(times.items()):
                 if now - at_s > _FORGET_S:
                     del times[address]
+
+
+def _note_flag(addresses, address, flag):
+    if flag is True:
+        addresses.add(address)
+    else:
+        addresses.discard(address)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -123,7 +123,7 @@
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
         self._seat_scope = None
-        self._hands_over = False
+        self._hands_over = self._stops = False
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """
@@ -327,7 +327,9 @@
         ----------
         timeout_s : float
         """
+        self._stops = True
         if self.replica is None or not self.replica.is_ready or not self._has_spare():
+            await self._greet_all()
             return
         seat = self.replica.seat
         log_event("seat-handed-over", seat=seat)
@@ -342,10 +344,10 @@
 
     def _has_spare(self):
         held = self._seats.addresses()
-        return any(address not in held for address in self.live_controls())
+        return any(address not in held for address in self._staying())
 
     def _look_for_seat(self, nursery):
-        if self._hands_over or trio.current_time() < self._sit_after_s:
+        if self._stops or trio.current_time() < self._sit_after_s:
             return
         seat = self._seats.seat_at(self.address) or self._seat_to_take()
         if seat is not None:
@@ -362,7 +364,8 @@
             return None
         # Each of several processes without a seat takes another one. Two that took
         # the same would copy the state for nothing, and one of them start again.
-        unseated = [address for address in self.live_controls() if address not in held]
+        # One that has left or is about to must not count.
+        unseated = [address for address in self._staying() if address not in held]
         place = unseated.index(self.address)
         return free[place] if place < len(free) else None
 
@@ -392,6 +395,7 @@
             "nonce": self._told_nonce(),
             "withdrawn": self._saved.told_withdrawn(),
             "hands_over": self._hands_over,
+            "stops": self._stops,
         }
         try:
             reply = await self._client.json(
@@ -439,6 +443,7 @@
             "nonce": self._told_nonce(),
             "withdrawn": self._saved.told_withdrawn(),
             "hands_over": self._hands_over,
+            "stops": self._stops,
         }
 
     def _told_nonce(self):
@@ -477,9 +482,14 @@
         if self.replica is None or not self.replica.is_ready:
             return False
         held = self._seats.addresses()
-        holders = (address for address in self.live_controls() if address in held)
+        holders = (address for address in self._staying() if address in held)
         return next(holders, None) == self.address
 
+    def _staying(self):
+        """List the control processes that aren't about to end, in order."""
+        staying = self.heard.staying(trio.current_time())
+        return sorted(staying if self._stops else [self.address, *staying])
+
     def hears_all_seats(self):
         """Tell whether the holders of all other seats were heard of lately."""
         others = self._seats.holders.keys() - {self.seat()}
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_hand_over.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_hand_over.py
@@ -68,6 +68,27 @@
     run_controls(main)
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("pause_s", [0.0, 1.0, 3.0])
+def test_three_planned_replacements_one_after_the_other_lose_no_table(seed, pause_s):
+    # Guards against a process that has just left and still holds a rank among those
+    # that may take a seat, so that nobody takes the next one.
+    async def main(deployment):
+        await deployment.found()
+        for number in (4, 5, 6):
+            await deployment.start(number)
+        await trio.sleep(OVERLAP_S)
+        text = await put(deployment, 1, 1)
+        for old in (1, 2, 3):
+            await deployment.stop(old, wipe=True)
+            await trio.sleep(pause_s)
+        for number in (4, 5, 6):
+            await until_read(deployment, number, text)
+        await put(deployment, 4, 2)
+
+    run_controls(main, seed)
+
+
 def test_a_stop_without_a_spare_process_takes_no_longer():
     async def main(deployment):
         await deployment.found()
