Limit what runs in a group that has formed again, not what is free

Once the group was open, the gateways refused every request for good, with eight sound and idle engines.

Cause: a group that has formed again is used for 0.6 of its slots, and the rest was taken off the sum of free places. Engines that await the first answer after their pause add one place each to that sum, not their slots, so that it stayed below what was withheld: the same restraint counted twice. What would lift it, an answer or a running stream, could not come. The same shape on related paths: places kept from late requests and slots reserved for urgent ones were parts of all slots, also where pauses, rate limits, exclusions and limits of groups leave fewer places than that; the slots times the fraction of a concurrency limit could be 0; a ramp never ended where a route tells no tolerated gap.

Change: the ramp bounds what runs (`GroupHealth.max_running`, at least 1), and whatever is kept back is less than the servers could take if nothing ran (`most_kept`). The line `no-free-place` tells at most once a second what leaves no place.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/admit.py
@@ -1,5 +1,6 @@
 """Filter: requests wait for a place at a server, or are told when to come back."""
 
+from functools import partial
 from math import inf
 
 import trio
@@ -16,6 +17,8 @@
 _LOOK_S = 0.01
 """Between two looks for free places while somebody waits; places are freed by other
 gateways' requests too, of which a datagram tells."""
+_TELL_S = 1.0
+"""Between two lines about a service without free places."""
 _LONGEST_FIRST_PART = 0.7
 """Of the time within which an answer is on time. When overload makes the first events
 slower than that, fresh requests must still go before those that are late: otherwise
@@ -45,7 +48,15 @@
         sent to the first few servers that announce themselves, which refuse most.
     """
 
-    __slots__ = ("_servers", "_lines", "_places", "_shown", "_wanted", "_warm_up")
+    __slots__ = (
+        "_servers",
+        "_lines",
+        "_places",
+        "_shown",
+        "_wanted",
+        "_warm_up",
+        "_told_s",
+    )
 
     def __init__(self, servers, warm_up):
         self._servers = servers
@@ -54,6 +65,7 @@
         self._places = {}
         self._shown = set()
         self._wanted = trio.Event()
+        self._told_s = {}
 
     async def __call__(self, exchange, proceed):
         """Wait if all places are taken; set whether the answer can be on time."""
@@ -96,6 +108,7 @@
             self._servers.reservable_slots(service),
             1 + self._servers.peers.count,
             elsewhere,
+            partial(self._servers.most_kept, service),
         )
         return elsewhere
 
@@ -257,6 +270,7 @@
     def _refusal(self, exchange, line, reason, retry_s):
         if self._servers.is_evacuated(exchange.service):
             return self._refuse_evacuated(exchange)
+        self._tell_restraints(exchange.service, reason)
         detail = f"{len(line)} requests wait for {exchange.service}"
         if self._servers.is_contended(exchange.service):
             detail += f", {exchange.ahead} go first"
@@ -268,6 +282,13 @@
             detail = f"all servers of {exchange.service} asked for a pause"
         return Refusal(Verdict.NOT_RUN, 503, reason, detail, retry_s)
 
+    def _tell_restraints(self, service, reason):
+        now = trio.current_time()
+        if now - self._told_s.get(service, -inf) >= _TELL_S:
+            self._told_s[service] = now
+            counts = self._servers.restraints(service)
+            log_event("no-free-place", service=service, why=reason, **counts)
+
     def count_waiting(self):
         """
         Count those who wait.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/servers.py
@@ -12,10 +12,12 @@
     DEFAULT_FIRST_EVENT_S,
     GroupHealth,
     choose_server,
+    count_restraints,
     free_places,
     free_to_begin,
     kept_places,
     median_latency,
+    most_kept,
     reservable_slots,
 )
 from gooseberryyoke_daemon.departures import log_departure
@@ -418,7 +420,15 @@
 
     def kept_places(self, service):
         """See `gooseberryyoke.placement.kept_places`."""
-        return kept_places(self.of_service(service))
+        return kept_places(self.of_service(service), trio.current_time())
+
+    def restraints(self, service):
+        """See `gooseberryyoke.placement.count_restraints`."""
+        return count_restraints(self.of_service(service), trio.current_time())
+
+    def most_kept(self, service, wanted):
+        """See `gooseberryyoke.placement.most_kept`."""
+        return most_kept(wanted, self.of_service(service), trio.current_time())
 
     def reservable_slots(self, service):
         """See `gooseberryyoke.placement.reservable_slots`."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -349,3 +349,34 @@
         assert 'gooseberryyoke_servers_in_backoff{service="s"} 0' in text
 
     run_routed(main)
+
+
+def broken_until(end_s):
+    """Turn requests away, ask for pauses as well later on, then serve streams."""
+    serve = streaming()
+    start_s = trio.current_time()
+
+    async def answer(request):
+        since_s = trio.current_time() - start_s
+        if since_s >= end_s:
+            return await serve(request)
+        pause = [("retry-after", "1")] if since_s >= end_s / 2 else []
+        return Response(503, [NOT_RUN, *pause], b"")
+
+    return answer
+
+
+@pytest.mark.parametrize("size", [3, 4, 8])
+def test_callers_are_served_once_a_group_that_asked_for_pauses_is_whole_again(size):
+    # Guards against a gateway that refuses every request for good: each engine awaits
+    # the first answer after its pause, and more slots are withheld than they leave.
+    async def main(session):
+        for rank in range(size):
+            place = member(rank, size)
+            await session.add(f"s{rank}", broken_until(2.0), place=place)
+        await session.ask_often("/draw/x", RATE, 2.0)
+        await trio.sleep(3.0)
+        replies = await session.ask_often("/draw/x", RATE, 2.0, "b")
+        assert statuses(replies) == {200}
+
+    run_routed(main)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/__init__.py
@@ -18,10 +18,12 @@
 from gooseberryyoke.placement.latency import ServerLatency
 from gooseberryyoke.placement.load import PEER_COUNT_TTL_S, ServerLoad
 from gooseberryyoke.placement.places import (
+    count_restraints,
     free_by_server,
     free_places,
     free_to_begin,
     kept_places,
+    most_kept,
     reservable_slots,
 )
 from gooseberryyoke.placement.rate_limit import RateLimit, parse_rate_limit
@@ -66,5 +68,7 @@
     "parse_retry_after",
     "parse_rate_limit",
     "reservable_slots",
+    "most_kept",
+    "count_restraints",
     "median_latency",
 ]
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/group_health.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/group_health.py
@@ -7,7 +7,7 @@
 probe request at a time tests the group.
 """
 
-from math import floor
+from math import floor, inf
 
 __all__ = ["GroupHealth"]
 
@@ -140,11 +140,10 @@
         now : float
             In seconds.
         """
-        if tolerated_s is None:
-            return
-        if self.concurrency is not None:
+        if self.concurrency is not None and tolerated_s is not None:
             self.concurrency.observe(gap_s, _GAP_BOUND_FRACTION * tolerated_s, now)
-        self._gaps.append(gap_s / tolerated_s)
+        # Where callers don't tell, no gap is too long.
+        self._gaps.append(0.0 if tolerated_s is None else gap_s / tolerated_s)
         if now - self._window_start_s < _WINDOW_S:
             return
         gap_ratio = sorted(self._gaps)[floor(len(self._gaps) * _GAP_QUANTILE)]
@@ -227,13 +226,34 @@
         if self.is_stalled(now):
             return 0
         if not self.is_probed:
-            withheld = round(slots * (1 - self._ramp_up_fraction))
-            return max(0, min(free - withheld, self._below_limit(free, slots, running)))
+            if not slots:
+                return free
+            return floor(max(0, min(free, self.max_running(slots) - running)))
         if self.in_flight or now < self._next_probe_s:
             return 0
         return min(1, free)
 
-    def _below_limit(self, free, slots, running):
-        if not slots or self.concurrency is None or self.concurrency.fraction >= 1:
-            return free
-        return floor(slots * self.concurrency.fraction - running)
+    def max_running(self, slots):
+        """
+        Compute the number of requests that may run in the group.
+
+        The limit applies to what runs, and not to the free slots: these may be fewer
+        for other reasons, and if the same restraint counted twice, a group whose
+        engines all wait for a probe would get no request, and none would end that.
+
+        Parameters
+        ----------
+        slots : int
+            All slots of its members.
+
+        Returns
+        -------
+        float
+            At least 1; infinite without a limit.
+        """
+        limit = slots - round(slots * (1 - self._ramp_up_fraction))
+        if self._ramp_up_fraction >= 1:
+            limit = inf
+        if self.concurrency is not None and self.concurrency.fraction < 1:
+            limit = min(limit, round(slots * self.concurrency.fraction))
+        return max(1, limit)
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/places.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/places.py
@@ -4,13 +4,17 @@
 back-off period and the limits of its group allow it.
 """
 
+from math import inf
+
 __all__ = [
+    "count_restraints",
     "free_by_server",
     "free_places",
     "free_to_begin",
     "available_groups",
     "kept_places",
     "reservable_slots",
+    "most_kept",
     "available_servers",
 ]
 
@@ -94,9 +98,7 @@
             free += min(free_slots, left, server.backoff.room(now))
     if group_health is None:
         return free
-    return group_health.places(
-        free, now, slots, running if group_health.concurrency is not None else 0.0
-    )
+    return group_health.places(free, now, slots, running)
 
 
 def free_by_server(servers, now):
@@ -125,7 +127,91 @@
     return free
 
 
-def kept_places(servers):
+def most_kept(wanted, servers, now):
+    """
+    Bound the places that are kept free for some requests.
+
+    One fewer than servers could take if no request ran: otherwise nothing would be
+    sent, and limits that only answers lift would stay for good.
+
+    Parameters
+    ----------
+    wanted : int
+    servers : list
+        See `free_places`.
+    now : float
+        Current time in seconds.
+
+    Returns
+    -------
+    int
+        At most ``wanted``.
+    """
+    usable, by_group_health = 0, {}
+    for server in servers:
+        by_group_health.setdefault(server.group_health, []).append(server)
+    for group_health, members in by_group_health.items():
+        usable += _usable_in_group(group_health, members, now, wanted + 1)
+        if usable > wanted:
+            return wanted
+    return max(0, usable - 1)
+
+
+def _usable_in_group(group_health, members, now, enough):
+    """Count what a group could take if no request ran, at least as far as enough."""
+    usable = 0
+    for server in members:
+        usable += _usable_at(server, now)
+        if usable >= enough:
+            break
+    if group_health is None:
+        return usable
+    return min(usable, group_health.max_running(_count_slots(members)))
+
+
+def _usable_at(server, now):
+    if server.health.is_excluded(now) or server.backoff.is_on(now):
+        return 0
+    share = server.limit.share(now)
+    if share == inf and not server.backoff.awaits_probe:
+        return server.entry.slots
+    return 1 if share > 0 else 0
+
+
+def count_restraints(servers, now):
+    """
+    Count what leaves a service without free places.
+
+    Parameters
+    ----------
+    servers : list
+        See `free_places`.
+    now : float
+        Current time in seconds.
+
+    Returns
+    -------
+    dict of str to int
+        ``servers``, ``slots`` and ``running`` requests of all of them, and how many of
+        the servers are ``excluded`` after failures, ``paused``, ``unproven`` since
+        their pause, or ``rate_limited``; of groups, how many are ``probed`` or
+        ``limited``.
+    """
+    healths = {server.group_health for server in servers} - {None}
+    return {
+        "servers": len(servers),
+        "slots": _count_slots(servers),
+        "running": round(sum(server.load.expected(now) for server in servers)),
+        "excluded": sum(server.health.is_excluded(now) for server in servers),
+        "paused": sum(server.backoff.is_on(now) for server in servers),
+        "unproven": sum(server.backoff.awaits_probe for server in servers),
+        "rate_limited": sum(server.limit.share(now) != inf for server in servers),
+        "probed": sum(health.is_probed for health in healths),
+        "limited": sum(health.limit_part < 1 for health in healths),
+    }
+
+
+def kept_places(servers, now):
     """
     Count the places that late requests have to leave free.
 
@@ -133,6 +219,8 @@
     ----------
     servers : list
         See `free_places`.
+    now : float
+        Current time in seconds.
 
     Returns
     -------
@@ -141,7 +229,8 @@
     """
     if _is_any_probed(servers):
         return 0
-    return round(_count_slots(servers) * _KEPT_FRACTION)
+    kept = round(_count_slots(servers) * _KEPT_FRACTION)
+    return most_kept(kept, servers, now)
 
 
 def reservable_slots(servers, now):
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/tests/test_placement.py
@@ -185,12 +185,12 @@
     servers = probed + group(accepting, Candidate("y", own=2), Candidate("z"))
     assert free_places(servers, 0.1) == 10
     assert free_places(servers, 0.2) == 11
-    assert kept_places(probed) == 0
-    assert free_to_begin(probed, 0.2) > kept_places(probed)
+    assert kept_places(probed, 0.2) == 0
+    assert free_to_begin(probed, 0.2) > kept_places(probed, 0.2)
     assert choose(*servers, now=0.1) == "z"
 
 
 def test_late_requests_leave_some_places_free():
     servers = [Candidate("x", own=5), Candidate("y", own=6)]
-    assert kept_places(servers) == 1
+    assert kept_places(servers, 0.0) == 1
     assert free_to_begin(servers, 0.0) == 1
--- a/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/placement/waiting.py
@@ -53,6 +53,7 @@
         "_last_free_s",
         "_is_managed",
         "_reservation",
+        "_most_kept",
         "_fair_share",
         "_retries",
         "_hold",
@@ -65,6 +66,7 @@
         self._gateways = 1
         self._waiting_elsewhere = None
         self._reservation = Reservation()
+        self._most_kept = _whole
         self._fair_share = FairShare()
         self._retries = RetrySchedule()
         self._hold = SlotHold()
@@ -77,7 +79,9 @@
     def __len__(self):
         return len(self._waiters)
 
-    def configure(self, urgencies, slots, gateways=1, waiting_elsewhere=None):
+    def configure(
+        self, urgencies, slots, gateways=1, waiting_elsewhere=None, most_kept=None
+    ):
         """
         Set whether and how the line is managed for contention.
 
@@ -93,7 +97,10 @@
         waiting_elsewhere : dict of int to int, optional
             Number of requests that wait at the other gateways, by urgency; None if it
             is not known.
+        most_kept : callable, optional
+            Gives the most places that may be kept free, from a wanted number.
         """
+        self._most_kept = most_kept or _whole
         self._is_managed = urgencies is not None
         self._gateways = gateways
         self._waiting_elsewhere = waiting_elsewhere
@@ -460,7 +467,7 @@
         ):
             return True
         reserved = self._reservation.reserved(waiter.urgency)
-        if reserved and free <= reserved:
+        if reserved and free <= reserved and free <= self._most_kept(reserved):
             return False
         ahead = ahead_elsewhere or {}
         return not self._hold.is_held(waiter.urgency, free, ahead, now)
@@ -527,6 +534,10 @@
         return order
 
 
+def _whole(wanted):
+    return wanted
+
+
 def _max_wait_s(waiter, now):
     max_wait_s = waiter.wait_until_s - now
     return max_wait_s * _LAST_TRY_WAIT_FACTOR if waiter.is_last_try else max_wait_s
