Continue a seat on its successor's disk, without any other seat

The first left after 4 of 8 s with the last but one copy of the state, and the configuration that had been acknowledged never came back.

Cause: a successor copied a majority of the other seats, as after a loss. With three seats these are both others. The holder itself, alive and whole, was not asked, and its process counted out half of its grace without knowing how many held the state.

Change: the process that stops offers its seat to one that it chooses. The successor has the holder stop voting, copies its slots as they stand, and is released once the holder has written down that it never votes again. Its identity lies directly above the holder's and below any other, so that whoever has replaced the one has replaced the other. Also: an empty folder takes the seat at its address only once it hears most holders; one that had been away told it of a seat that had been handed on.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/copying.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/copying.py
@@ -47,11 +47,37 @@
         list of CopyPage
             The last of each source; empty if the copy is not whole.
         """
-        pages = []
+        peers = [self._replica.peers[seat] for seat in sources]
+        pages = await self._take_all(peers, self._merged)
+        if len(exclude_replaced(pages)) < len(pages):
+            return []
+        await self._raise_floor(pages)
+        return pages
+
+    async def take_over(self, holder):
+        """
+        Copy a replica that votes no more, as it stands.
+
+        Its votes count as those of this replica from then on, so that none is marked
+        as copied.
+
+        Parameters
+        ----------
+        holder : SeatPeer or HttpPeer
+
+        Returns
+        -------
+        bool
+            Whether the copy is whole.
+        """
+        pages = await self._take_all([holder], _as_they_are)
+        await self._raise_floor(pages)
+        return bool(pages)
+
+    async def _take_all(self, peers, to_changes):
         try:
             await self._drop_left_over()
-            for seat in sources:
-                pages.append(await self._take_from(seat))
+            return [await self._take_from(peer, to_changes) for peer in peers]
         except (PeerFailed, _CopyFailed) as exc:
             log_event(
                 "copy-broken-off",
@@ -62,11 +88,10 @@
             # A page of large values may be longer than a reply is allowed to be.
             self._page_slots = max(1, self._page_slots // 2)
             return []
-        if len(exclude_replaced(pages)) < len(pages):
-            return []
-        floor = max(page.floor for page in pages)
+
+    async def _raise_floor(self, pages):
+        floor = max((page.floor for page in pages), default=0)
         await self._replica.record(self._state, [FloorRaised(floor)])
-        return pages
 
     async def _drop_left_over(self):
         """
@@ -77,20 +102,20 @@
         dropped = [SlotDropped(key, self._state.floor) for key in self._state.slots]
         await self._replica.record(self._state, dropped)
 
-    async def _take_from(self, seat):
+    async def _take_from(self, peer, to_changes):
         """Copy all pages of one source; return the last."""
         after, first = "", None
         while True:
             message = Copy(
                 self._replica.seat, self._state.incarnation, after, self._page_slots
             )
-            page = await self._replica.peers[seat].call(message)
+            page = await peer.call(message)
             if not isinstance(page, CopyPage):
                 raise _CopyFailed(f"no page but {page!r}")
             first = first or page
             if page.sender.incarnation != first.sender.incarnation:
                 raise _CopyFailed(f"{page.sender.seat} changed hands")
-            await self._replica.record(self._state, self._merged(page.slots))
+            await self._replica.record(self._state, to_changes(page.slots))
             if not page.more:
                 return page
             after = page.slots[-1].key
@@ -104,3 +129,7 @@
             if slot != mine:
                 changes.append(SlotStored(keyed.key, slot))
         return changes
+
+
+def _as_they_are(slots):
+    return [SlotStored(keyed.key, keyed.slot) for keyed in slots]
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/joining.py
@@ -6,6 +6,7 @@
     Founded,
     Joined,
     Reclaimed,
+    Resumed,
     SeatNamed,
     SeatTaken,
 )
@@ -29,10 +30,11 @@
     is_replaced,
     next_incarnation,
 )
-from gooseberryyoke.register.state import FRESH, READY
+from gooseberryyoke.register.state import FRESH, HANDED_OVER, READY
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import PeerFailed
 from gooseberryyoke_daemon.replica.copying import StateCopy
+from gooseberryyoke_daemon.replica.succession import Succession, SuccessionOutcome
 
 __all__ = ["FolderOutdated", "Joining"]
 
@@ -41,6 +43,11 @@
 _WITHDRAW_S = 4.0
 """After the first request to be confirmed, until a holder that can't join makes room.
 Longer than a replica takes to start again."""
+_SUCCEED_S = 4.0
+"""For a holder that offers its seat to answer, also if it is started again meanwhile.
+Then the seat is given up, and taken like any other that is silent."""
+_SUCCESSOR_S = 5.0
+"""For a released successor to withdraw, if it hasn't joined; longer than it tries."""
 _TELL_S = 2.0
 """Between two lines about a replica that can't vote yet."""
 
@@ -78,7 +85,9 @@
         self._acceptor = replica.acceptor
         self._state = replica.acceptor.state
         self._copy = StateCopy(replica)
+        self._succession = Succession(replica, self._copy)
         self._has_renewed = False
+        self._is_named = False
         self._asked_s = None
         self._began_s = trio.current_time()
         self._told_s = self._began_s
@@ -113,6 +122,9 @@
         replies = []
         while not is_replaced(self._state, replies):
             await trio.sleep(self._replica.hello_s)
+            if self._state.status == HANDED_OVER:
+                self._acceptor.is_admitted = False
+                return
             replies = await self._greet()
         # Another process has begun to take the seat. Proposers drop our votes
         # already; whether it also gets that far decides who holds the seat.
@@ -120,6 +132,12 @@
         log_event("seat-contested", level="warning", seat=self._replica.seat)
 
     async def _try_to_join(self):
+        if self._state.status == HANDED_OVER:
+            await self._resume_without_successor()
+            return
+        if self._is_succeeding():
+            await self._succeed()
+            return
         replies = await self._greet()
         size = len(self._replica.peers) + 1
         if self._state.status != FRESH:
@@ -135,6 +153,46 @@
                 # others have: the former holder waits for as long as this one does.
                 self._tell_taken_over()
 
+    def _is_succeeding(self):
+        if self._state.status != FRESH:
+            return False
+        # Others name the later identity of one that has begun to copy them.
+        is_offered = self._replica.offer is not None and not self._is_named
+        return self._succession.is_begun or is_offered
+
+    async def _succeed(self):
+        if not self._succession.is_begun:
+            self._succession.begin(self._replica.offer)
+        if not self._succession.is_copied and not await self._reaches_majority():
+            # In the seat it would be of less use than the holder that stops.
+            outcome = SuccessionOutcome.UNANSWERED
+        else:
+            outcome = await self._succession.attempt()
+        if outcome is SuccessionOutcome.REFUSED:
+            self._tell_taken_over()
+        elif outcome is SuccessionOutcome.UNANSWERED:
+            if self._succession.lasts_s() > _SUCCEED_S:
+                self._tell_taken_over()
+        else:
+            self._acceptor.is_admitted = True
+            # So that others drop the votes of an old copy of the predecessor's folder.
+            confirm = Confirm(self._replica.seat, self._state.incarnation)
+            await self._ask(self._replica.peers, confirm, Confirmed)
+
+    async def _reaches_majority(self):
+        size = len(self._replica.peers) + 1
+        return len(await self._greet()) + 1 >= majority(size)
+
+    async def _resume_without_successor(self):
+        """Vote again if the successor has withdrawn, and so has never voted."""
+        if self._state.successor in self._replica.withdrawn():
+            log_event("seat-resumed", level="warning", seat=self._replica.seat)
+            self._acceptor.take_back()
+            await self._record([Resumed()])
+        elif trio.current_time() - self._began_s > _SUCCESSOR_S:
+            # It may have voted and been lost: the seat is to be taken like any other.
+            self._tell_taken_over()
+
     def _is_stuck(self):
         asked_s = self._asked_s
         return asked_s is not None and trio.current_time() - asked_s > _WITHDRAW_S
@@ -167,6 +225,7 @@
             await self._record([Founded(judgement.founders)])
             self._acceptor.is_admitted = True
         elif admission is Admission.COPY:
+            self._is_named = True
             await self._copy_all(judgement.sources)
         elif admission is Admission.REFUSE:
             self._tell_taken_over()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -19,14 +19,16 @@
     Confirm,
     Copy,
     Forget,
+    HandOver,
     Hello,
     Prepare,
     Read,
+    Release,
     Scan,
     SeatQuery,
 )
 from gooseberryyoke.register.repair import next_incarnation
-from gooseberryyoke.register.state import FRESH, READY
+from gooseberryyoke.register.state import FRESH, HANDED_OVER, READY
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.registers import REGISTER_PATH, PeerFailed
 from gooseberryyoke_daemon.replica.joining import FolderOutdated, Joining
@@ -41,7 +43,19 @@
 
 _METHOD_NOT_ALLOWED = 405
 _SHOWN_CHARACTERS = 300
-_REQUESTS = (Accept, Confirm, Copy, Forget, Hello, Prepare, Read, Scan, SeatQuery)
+_REQUESTS = (
+    Accept,
+    Confirm,
+    Copy,
+    Forget,
+    HandOver,
+    Hello,
+    Prepare,
+    Read,
+    Release,
+    Scan,
+    SeatQuery,
+)
 _UNAVAILABLE = 503
 _DEFAULT_HELLO_S = 1.0
 
@@ -95,6 +109,8 @@
         Another process holds the seat now; this replica votes no more.
     yields : bool
         Whether another process that begins to take the seat is let have it.
+    offer : SeatOffer or None
+        Of the seat's holder, to this replica.
 
     Notes
     -----
@@ -130,6 +146,7 @@
         self.journal = None
         self.is_taken_over = False
         self.yields = False
+        self.offer = None
         self._disk = disk
         self._founders = founders
         self._forget_founders = forget_founders
@@ -207,6 +224,40 @@
         if self._on_withdrawn is not None:
             await self._on_withdrawn(former)
 
+    def begin_hand_over(self, successor):
+        """
+        Let another process take the seat.
+
+        Parameters
+        ----------
+        successor : str or None
+            Its address; None for whoever copies the other seats.
+        """
+        self.yields = successor is None
+        self.acceptor.offered_to = successor
+
+    def end_hand_over(self):
+        """
+        Keep the seat, unless a successor has been released.
+
+        Returns
+        -------
+        bool
+            Whether the seat is kept.
+        """
+        self.yields, self.acceptor.offered_to = False, None
+        return self.acceptor.take_back()
+
+    @property
+    def copied_pages(self):
+        """Number of requests of successors so far."""
+        return self.acceptor.copied_pages
+
+    @property
+    def is_handed_over(self):
+        """Whether a successor votes in the place of this replica."""
+        return self.acceptor is not None and self.acceptor.state.status == HANDED_OVER
+
     @property
     def unjoined(self):
         """The identity of a replica that has never voted, else None."""
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/heard.py
@@ -32,6 +32,8 @@
         "_address",
         "_handing_over",
         "_stopping",
+        "_successors",
+        "_offering",
         "_heard_s",
         "_told_s",
         "_nonces",
@@ -45,6 +47,8 @@
         self._nonces = {}
         self._handing_over = set()
         self._stopping = set()
+        self._successors = set()
+        self._offering = set()
 
     def note(self, address, payload, now):
         """
@@ -56,8 +60,9 @@
         payload : dict
             With ``controls`` that it knows, its ``nonce`` while it may become a
             founder, the identities that it has ``withdrawn``, whether it
-            ``hands_over`` its seat, and whether it ``stops``. One of an earlier release
-            doesn't tell the last two.
+            ``hands_over`` its seat to anybody, whether it ``stops`` or ``may_succeed``
+            a holder, and the ``successor`` to which it offers its seat. One of an
+            earlier release doesn't tell the last four.
         now : float
             In seconds.
 
@@ -73,6 +78,9 @@
         self._note_nonce(address, payload.get("nonce"))
         _note_flag(self._handing_over, address, payload.get("hands_over"))
         _note_flag(self._stopping, address, payload.get("stops"))
+        _note_flag(self._successors, address, payload.get("may_succeed"))
+        is_offer = payload.get("successor") == self._address
+        _note_flag(self._offering, address, is_offer)
         self.withdrawn |= {Incarnation(*i) for i in payload.get("withdrawn", ())}
         return now - before_s > VACANT_S
 
@@ -113,6 +121,38 @@
         """
         return address in self._handing_over
 
+    def successors(self, now):
+        """
+        List those that would take the seat of a holder that stops.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of str
+            In order.
+        """
+        return sorted(self._successors.intersection(self.staying(now)))
+
+    def offering(self, now):
+        """
+        List those that offer their seat to this process.
+
+        Parameters
+        ----------
+        now : float
+            In seconds.
+
+        Returns
+        -------
+        list of str
+            In order.
+        """
+        return sorted(self._offering.intersection(self.lately(now)))
+
     def staying(self, now):
         """
         List those heard of lately that aren't about to end.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -12,8 +12,9 @@
 )
 from gooseberryyoke_daemon.logs import log_event
 from gooseberryyoke_daemon.paths import SEATS_PATH
-from gooseberryyoke_daemon.replica import Replica
+from gooseberryyoke_daemon.replica import Replica, SeatOffer
 from gooseberryyoke_daemon.seats.founding import Founding, VoteLost
+from gooseberryyoke_daemon.seats.hand_over import SeatHandOver
 from gooseberryyoke_daemon.seats.heard import VACANT_S, HeardControls
 from gooseberryyoke_daemon.seats.record_keeper import RecordKeeper
 from gooseberryyoke_daemon.storage import DiskFailed
@@ -123,7 +124,9 @@
         self._started_s = 0.0
         self._sit_after_s = float("-inf")
         self._seat_scope = None
-        self._hands_over = self._stops = False
+        self._stops = False
+        self._hand_over = SeatHandOver(address, seats, self.heard)
+        self._is_woken = trio.Event()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """
@@ -218,11 +221,29 @@
             await self._greet_all()
             if self.replica is None:
                 self._look_for_seat(nursery)
-            elif self.replica.is_taken_over:
+            elif self.replica.is_taken_over or self._is_succeeded():
                 await self._leave_seat()
+            elif self.replica.unjoined is not None:
+                self.replica.offer = self._offer_of(self.replica.seat)
             elif self.replica.is_ready:
                 await self._announce()
-            await trio.sleep(self._greet_pause_s())
+            with trio.move_on_after(self._greet_pause_s()):
+                await self._is_woken.wait()
+            self._is_woken = trio.Event()
+
+    def _is_succeeded(self):
+        holder = self._seats.holders[self.replica.seat]
+        return self.replica.is_handed_over and holder.address != self.address
+
+    def _offer_of(self, seat):
+        """Give the offer of a seat's holder, None without one."""
+        holder = self._seats.holders.get(seat)
+        if holder is None or holder.address not in self._offers():
+            return None
+        return SeatOffer(self._peers.at(holder.address), self.address)
+
+    def _offers(self):
+        return self.heard.offering(trio.current_time()) if self._may_succeed() else []
 
     def _greet_pause_s(self):
         is_settled = self.replica is not None and self.replica.is_ready
@@ -247,6 +268,7 @@
             withdrawn=self._all_withdrawn,
             on_stored=self._on_stored,
         )
+        replica.offer = self._offer_of(seat)
         self.replica = self._peers.own = replica
         self._seat_scope = trio.CancelScope()
         nursery.start_soon(self._run_replica, replica)
@@ -309,13 +331,16 @@
 
     async def _announce(self):
         replica = self.replica
-        incarnation = replica.acceptor.state.incarnation
-        if self._seats.set_if_later(replica.seat, Holder(incarnation, self.address)):
-            self._on_seats()
+        self._note_own_seat(replica)
         # If this fails it is tried again with the next round; until then the addresses
         # in the older file still lead to the others.
         await self._saved.save(seat=replica.seat, joining=None)
 
+    def _note_own_seat(self, replica):
+        incarnation = replica.acceptor.state.incarnation
+        if self._seats.set_if_later(replica.seat, Holder(incarnation, self.address)):
+            self._on_seats()
+
     async def hand_over(self, timeout_s):
         """
         Have a process without a seat take this one's, before this process stops.
@@ -328,39 +353,57 @@
         timeout_s : float
         """
         self._stops = True
-        if self.replica is None or not self.replica.is_ready or not self._has_spare():
+        replica = self.replica
+        if replica is None or not replica.is_ready:
             await self._greet_all()
             return
-        seat = self.replica.seat
-        log_event("seat-handed-over", seat=seat)
-        self._hands_over = self.replica.yields = True
-        with trio.move_on_after(timeout_s):
-            await self._greet_all()
-            while self._seats.seat_at(self.address) == seat:
-                await trio.sleep(_FIRST_GREET_S)
-            log_event("seat-given", seat=seat, holder=self._seats.holders[seat].address)
-            return
-        log_event("seat-kept", level="warning", seat=seat, after_s=timeout_s)
-
-    def _has_spare(self):
-        held = self._seats.addresses()
-        return any(address not in held for address in self._staying())
+        # It may have begun to vote since the last round of greetings.
+        self._note_own_seat(replica)
+        if await self._hand_over.run(replica, self._greet, timeout_s):
+            self._peers.own = None
 
     def _look_for_seat(self, nursery):
         if self._stops or trio.current_time() < self._sit_after_s:
             return
-        seat = self._seats.seat_at(self.address) or self._seat_to_take()
+        seat = self._own_seat() or self._offered_seat() or self._seat_to_take()
         if seat is not None:
             self._sit(seat, nursery)
 
+    def _own_seat(self):
+        """Give the seat that the others know this process to hold, None without one."""
+        seat = self._seats.seat_at(self.address)
+        if seat is None or self._founders_with(seat) is not None:
+            return seat
+        # Its folder is lost. One process alone may tell of a seat held long ago.
+        heard = set(self.heard.lately(trio.current_time()))
+        others = self._seats.addresses() & heard
+        return seat if 2 * len(others) > len(self._seats.holders) else None
+
+    def _offered_seat(self):
+        seats = (self._seats.seat_at(address) for address in self._offers())
+        return next((seat for seat in seats if seat is not None), None)
+
+    def _may_succeed(self):
+        """
+        Tell whether this process would take the seat of a holder that stops.
+
+        One that doesn't hear most of the others would be of no use in it.
+        """
+        if self._stops or not self._hears_majority():
+            return False
+        is_free = self.replica is None or self.replica.unjoined is not None
+        return is_free and trio.current_time() >= self._sit_after_s
+
+    def _hears_majority(self):
+        return 2 * len(self._heard_seats()) > len(self._seats.holders)
+
     def _seat_to_take(self):
         if trio.current_time() - self._started_s < VACANT_S:
             return None
         held = self._seats.addresses()
         free = sorted(self._seats.holders.keys() - self._heard_seats())
         # Others must be heard, or the silence is this process's own.
-        heard = len(self._seats.holders) - len(free)
-        if heard <= len(self._seats.holders) // 2:
+        if not self._hears_majority():
             return None
         # Each of several processes without a seat takes another one. Two that took
         # the same would copy the state for nothing, and one of them start again.
@@ -389,20 +432,13 @@
         self.heard.forget_silent(trio.current_time())
 
     async def _greet(self, address):
-        payload = {
-            "address": self.address,
-            "seats": self._seats.to_json(),
-            "nonce": self._told_nonce(),
-            "withdrawn": self._saved.told_withdrawn(),
-            "hands_over": self._hands_over,
-            "stops": self._stops,
-        }
+        payload = {"address": self.address, "seats": self._seats.to_json()}
         try:
             reply = await self._client.json(
                 "POST",
                 Address.parse(address),
                 SEATS_PATH,
-                payload,
+                payload | self._told_of_itself(),
                 timeout_s=_GREET_TIMEOUT_S,
                 repeatable=True,
             )
@@ -438,17 +474,20 @@
         now = trio.current_time()
         if self.heard.note(address, payload, now):
             log_event("control-reached", address=address)
+        if address in self._offers() and self.replica is None:
+            self._is_woken.set()
+        return self.say() | self._told_of_itself()
+
+    def _told_of_itself(self):
         return {
-            **self.say(),
-            "nonce": self._told_nonce(),
+            "nonce": self._saved.record.nonce if self._is_candidate else None,
             "withdrawn": self._saved.told_withdrawn(),
-            "hands_over": self._hands_over,
+            "hands_over": self._hand_over.is_open,
+            "successor": self._hand_over.successor,
             "stops": self._stops,
+            "may_succeed": self._may_succeed(),
         }
 
-    def _told_nonce(self):
-        return self._saved.record.nonce if self._is_candidate else None
-
     def say(self):
         """
         Tell the seats, and the control processes heard of lately.
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_hand_over.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_hand_over.py
@@ -89,6 +89,73 @@
     run_controls(main, seed)
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("count", [2, 3])
+def test_planned_replacements_at_the_same_time_lose_no_table(seed, count):
+    # Guards against a hand-over that needs the seats which are handed over as well.
+    async def main(deployment):
+        await deployment.found()
+        for number in (4, 5, 6):
+            await deployment.start(number)
+        await trio.sleep(OVERLAP_S)
+        text = await put(deployment, 1, 1)
+        async with trio.open_nursery() as nursery:
+            for old in range(1, count + 1):
+                nursery.start_soon(deployment.stop, old, True)
+        for number in (4, 5, 6):
+            await until_read(deployment, number, text)
+
+    run_controls(main, seed)
+
+
+@pytest.mark.parametrize("dark_s", [1.0, 5.0, 10.0])
+@pytest.mark.parametrize("after_s", [0.0, 0.05, 0.3, 1.0])
+@pytest.mark.parametrize("seed", range(2))
+def test_a_disk_lost_while_a_seat_is_handed_over_loses_no_table(seed, after_s, dark_s):
+    # Guards against a process that leaves with the last but one copy of the state,
+    # since its successor waits for a seat that is away.
+    async def main(deployment):
+        await deployment.found()
+        await deployment.start(4)
+        await trio.sleep(OVERLAP_S)
+        text = await put(deployment, 1, 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deployment.stop, 1, True)
+            await trio.sleep(after_s)
+            deployment.kill(2, wipe=True)
+        await trio.sleep(dark_s)
+        await deployment.start(2)
+        for number in (2, 3, 4):
+            await until_read(deployment, number, text)
+        await put(deployment, 3, 2)
+
+    run_controls(main, seed)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("after_s", [0.0, 0.02, 0.05, 0.1, 0.2])
+def test_a_successor_killed_while_it_copies_leaves_the_seat_to_the_next(seed, after_s):
+    # Guards against a holder that has stopped voting for a successor that never comes.
+    async def main(deployment):
+        await deployment.found()
+        for number in (4, 5):
+            await deployment.start(number)
+        await trio.sleep(OVERLAP_S)
+        text = await put(deployment, 1, 1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(deployment.stop, 1, True)
+            await trio.sleep(after_s)
+            deployment.kill(4)
+            await trio.sleep(0.8)
+            await deployment.start(4)
+        for number in (2, 3, 4, 5):
+            await until_read(deployment, number, text)
+        await trio.sleep(OVERLAP_S)
+        assert sum(deployment.is_ready(number) for number in (2, 3, 4, 5)) == 3
+
+    run_controls(main, seed)
+
+
 def test_a_stop_without_a_spare_process_takes_no_longer():
     async def main(deployment):
         await deployment.found()
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/tests/test_seat_walks.py
@@ -3,7 +3,7 @@
 from returns.result import Success
 
 from gooseberryyoke_daemon.testing.control_deployment import run_controls
-from gooseberryyoke_daemon.testing.control_walk import ControlWalk
+from gooseberryyoke_daemon.testing.control_walk import RECOVERY_S, ControlWalk
 
 STEPS = 25
 
@@ -13,8 +13,8 @@
 
     longest_pause_s = 4.0
 
-    def __init__(self, deployment, seed, tolerance, spares):
-        super().__init__(deployment, seed, tolerance, spares)
+    def __init__(self, deployment, seed, tolerance, spares, nursery=None):
+        super().__init__(deployment, seed, tolerance, spares, nursery)
         self._version = 0
         self.acked = 0
         self.acks = self.reads = 0
@@ -127,3 +127,57 @@
         await walk.end()
 
     run_controls(main, seed)
+
+
+class ReplacementWalk(Walk):
+    """Planned replacements in series that overlap, among random losses."""
+
+    longest_pause_s = 2.0
+
+    async def end(self):
+        await self._start_all()
+        for control in self._deployment.running.values():
+            with trio.fail_after(RECOVERY_S):
+                while not isinstance(found := await control.store.newest(), Success):
+                    await trio.sleep(0.1)
+            stored = found.unwrap()
+            assert (0 if stored is None else stored.version) >= self.acked
+
+    def _acts(self):
+        return (
+            self._put,
+            self._put,
+            self._read,
+            self._replace_meanwhile,
+            self._replace_meanwhile,
+            self._replace_meanwhile,
+            self._kill,
+            self._wipe,
+            self._start,
+            self._start,
+            self._start,
+            self._cut,
+            self._heal,
+        )
+
+
+REPLACEMENTS = [
+    (seed, *sizes) for seed in range(8) for sizes in ((1, 1), (1, 3), (2, 2), (3, 2))
+]
+
+
+@pytest.mark.parametrize(("seed", "tolerance", "spares"), REPLACEMENTS)
+def test_planned_replacements_among_losses_keep_acknowledged_tables(
+    seed, tolerance, spares
+):
+    # Guards against a seat whose votes are lost or counted twice on the way to its
+    # next holder, and against one that nobody holds in the end.
+    async def main(deployment):
+        async with trio.open_nursery() as nursery:
+            walk = ReplacementWalk(deployment, seed, tolerance, spares, nursery)
+            await walk.begin()
+            for _ in range(STEPS):
+                await walk.step()
+        await walk.end()
+
+    run_controls(main, seed)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_walk.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/testing/control_walk.py
@@ -22,20 +22,24 @@
     seed, tolerance, spares : int
         How many disks may be lost at once, and how many processes have no seat at
         first.
+    nursery : trio.Nursery, optional
+        For what goes on during later steps.
 
     Attributes
     ----------
     seats : int
-    wipes : int
-        Processes that were started again with an emptied folder.
+    wipes, replacements : int
+        Processes that were started again with an emptied folder: lost, and replaced as
+        planned.
     """
 
     longest_pause_s = 3.0
 
-    def __init__(self, deployment, seed, tolerance, spares):
+    def __init__(self, deployment, seed, tolerance, spares, nursery=None):
         self.seats = 2 * tolerance + 1
-        self.wipes = 0
+        self.wipes = self.replacements = 0
         self._deployment = deployment
+        self._nursery = nursery
         self._rng = Random(seed)
         self._tolerance = tolerance
         self._numbers = range(1, self.seats + spares + 1)
@@ -102,6 +106,27 @@
         self.wipes += 1
         self._deployment.kill(number, wipe=True)
 
+    async def _replace(self):
+        """Take the machine of a seat away as planned, once another has its seat."""
+        running = self._deployment.running
+        number = self._some(self._voting())
+        if number is None:
+            return
+        control, seat = running[number], running[number].keeper.replica.seat
+        await control.hand_over()
+        if running.get(number) is not control:
+            return
+        holder = control.seats.holders[seat]
+        is_given = holder.address != control.keeper.address
+        self.replacements += is_given
+        self._deployment.kill(number, wipe=is_given)
+
+    def _replace_meanwhile(self):
+        return self._begin_meanwhile(self._replace)
+
+    async def _begin_meanwhile(self, act):
+        self._nursery.start_soon(act)
+
     async def _start(self):
         number = self._some(set(self._numbers) - set(self._deployment.running))
         if number is not None:
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
@@ -6,6 +6,7 @@
 from gooseberryyoke.record import Record
 from gooseberryyoke.register.cell import Slot
 from gooseberryyoke.register.changes import (
+    HandedOver,
     PeerSeen,
     SeatNamed,
     SeatTaken,
@@ -23,6 +24,8 @@
     CopyPage,
     Forget,
     Forgotten,
+    HandingOver,
+    HandOver,
     Hello,
     HelloReply,
     KeyedSlot,
@@ -32,6 +35,8 @@
     Read,
     ReadReply,
     Rejected,
+    Release,
+    Released,
     Scan,
     ScanPage,
     SeatQuery,
@@ -40,6 +45,7 @@
 from gooseberryyoke.register.state import (
     COPYING,
     FRESH,
+    HANDED_OVER,
     READY,
     RECLAIMING,
     RETURNING,
@@ -48,6 +54,7 @@
 __all__ = ["Acceptor", "Answer"]
 
 _ALLOWED_BEFORE_READY = (Hello,)
+_OF_SUCCESSION = (HandOver, Release)
 
 
 class Answer(Record):
@@ -80,13 +87,31 @@
         State rebuilt from the data folder; it has an identity.
     is_admitted : bool
         Whether the folder has been compared with the positions recorded by its peers.
+
+    Attributes
+    ----------
+    offered_to : str or None
+        Address of the process that may be granted a `HandOver`.
+    successor : Incarnation or None
+        Identity that copies this replica, which doesn't vote meanwhile.
+    copied_pages : int
+        Number of requests of successors, as a sign of their progress.
     """
 
-    __slots__ = ("state", "is_admitted")
+    __slots__ = (
+        "state",
+        "is_admitted",
+        "offered_to",
+        "successor",
+        "copied_pages",
+    )
 
     def __init__(self, state, is_admitted=True):
         self.state = state
         self.is_admitted = is_admitted
+        self.offered_to = None
+        self.successor = None
+        self.copied_pages = 0
 
     def phase(self):
         """
@@ -98,8 +123,9 @@
             ``READY`` if it votes; else ``FRESH``, ``COPYING`` or ``RETURNING``.
         """
         if self.state.status == READY:
-            return READY if self.is_admitted else RETURNING
-        if self.state.status == RECLAIMING:
+            is_voting = self.is_admitted and self.successor is None
+            return READY if is_voting else RETURNING
+        if self.state.status in (RECLAIMING, HANDED_OVER):
             return RETURNING
         return COPYING if self.state.slots else FRESH
 
@@ -128,6 +154,11 @@
         Answer
             Reply and changes to sync first.
         """
+        if self._is_of_succession(message):
+            answer = self._succession_answer(message)
+            for change in answer.changes:
+                self.state.apply(change)
+            return answer
         if self.phase() != READY and not isinstance(message, _ALLOWED_BEFORE_READY):
             # If an empty or copying replica voted, a majority could lose a decided
             # value.
@@ -139,6 +170,69 @@
             return Answer(self._with_current_sender(answer.reply), answer.changes)
         return answer
 
+    def _is_of_succession(self, message):
+        is_own_copy = isinstance(message, Copy) and message.seat == self.state.seat
+        return is_own_copy or isinstance(message, _OF_SUCCESSION)
+
+    def _succession_answer(self, message):
+        """
+        Answer a successor, to whom alone this replica is open while it is copied.
+
+        If it went on voting, its successor would lack the votes since the copy.
+        """
+        if message.seat != self.state.seat:
+            return Answer(NotReady(self.sender_view()))
+        self.copied_pages += 1
+        return self._answer_successor(message)
+
+    def take_back(self):
+        """
+        Vote again, unless the successor has been released.
+
+        A successor that asks to be released later is refused, as its copy lacks what is
+        voted for from here on.
+
+        Returns
+        -------
+        bool
+            Whether the seat is still this replica's.
+        """
+        self.successor = None
+        return self.state.status != HANDED_OVER
+
+    @singledispatchmethod
+    def _answer_successor(self, message):
+        raise TypeError(f"{message!r} is not a request of a successor")
+
+    @_answer_successor.register
+    def _(self, message: HandOver):
+        incarnation = self.state.incarnation.succeeded_by(message.nonce)
+        if self.successor != incarnation:
+            is_holder = self.state.status == READY and self.is_admitted
+            if not is_holder or message.address != self.offered_to:
+                return Answer(NotReady(self.sender_view()))
+            # A later successor excludes the one before.
+            self.successor = incarnation
+        return Answer(HandingOver(self.sender_view(), incarnation))
+
+    @_answer_successor.register
+    def _(self, message: Copy):
+        if message.incarnation != self.successor:
+            return Answer(NotReady(self.sender_view()))
+        return Answer(self._copy_page(message))
+
+    @_answer_successor.register
+    def _(self, message: Release):
+        reply = Released(self.sender_view(), self._joined())
+        if self.state.successor == message.incarnation:
+            return Answer(reply)
+        is_holder = self.state.status == READY and self.is_admitted
+        # A holder that has reclaimed its seat meanwhile is above that successor.
+        is_next = message.incarnation > self.state.incarnation
+        if not (message.incarnation == self.successor and is_holder and is_next):
+            return Answer(NotReady(self.sender_view()))
+        return Answer(reply, [HandedOver(message.incarnation)])
+
     def _with_current_sender(self, reply):
         return reply.replace(sender=self.sender_view())
 
@@ -221,10 +315,7 @@
         known = self.state.roster.get(message.seat)
         if known is not None and known > message.incarnation:
             return Answer(NotReady(self.sender_view()))
-        after = message.after or None
-        keys = self.state.slots.irange(minimum=after, inclusive=(False, True))
-        page, more = self._page(list(islice(keys, message.limit + 1)), message.limit)
-        reply = CopyPage(self.sender_view(), page, more, self.state.floor)
+        reply = self._copy_page(message)
         if known == message.incarnation:
             return Answer(reply)
         # From here on every reply names the new holder. Otherwise a majority could be
@@ -244,8 +335,7 @@
 
     @_answer.register
     def _(self, message: SeatQuery):
-        joined = {seat: list(incs) for seat, incs in self.state.joined.items()}
-        return Answer(SeatReport(self.sender_view(), joined))
+        return Answer(SeatReport(self.sender_view(), self._joined()))
 
     @_answer.register
     def _(self, message: Hello):
@@ -259,6 +349,15 @@
         change = PeerSeen(message.seat, message.incarnation, message.position)
         return Answer(reply, [change])
 
+    def _joined(self):
+        return {seat: list(incs) for seat, incs in self.state.joined.items()}
+
+    def _copy_page(self, message):
+        after = message.after or None
+        keys = self.state.slots.irange(minimum=after, inclusive=(False, True))
+        page, more = self._page(list(islice(keys, message.limit + 1)), message.limit)
+        return CopyPage(self.sender_view(), page, more, self.state.floor)
+
     def _page(self, keys, limit):
         slots = self.state.slots
         page = [KeyedSlot(key, slots[key]) for key in keys[:limit]]
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/changes.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/changes.py
@@ -5,10 +5,12 @@
 __all__ = [
     "FloorRaised",
     "Founded",
+    "HandedOver",
     "Identified",
     "Joined",
     "PeerSeen",
     "Reclaimed",
+    "Resumed",
     "SeatNamed",
     "SeatTaken",
     "SlotDropped",
@@ -102,6 +104,28 @@
         self.former = former
 
 
+class HandedOver(Record):
+    """
+    End of this replica's votes, in favour of its successor.
+
+    Parameters
+    ----------
+    successor : Incarnation
+        Identity that holds a whole copy and votes from now on.
+    """
+
+    __slots__ = ("successor",)
+
+    def __init__(self, successor):
+        self.successor = successor
+
+
+class Resumed(Record):
+    """Return of a replica whose successor has withdrawn without having voted."""
+
+    __slots__ = ()
+
+
 class SeatNamed(Record):
     """Highest identity that has begun to copy the state for a seat."""
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/codec.py
@@ -122,6 +122,7 @@
     "after": _decode_string,
     "seat": _decode_string,
     "nonce": _decode_string,
+    "address": _decode_string,
     "limit": _decode_count,
     "position": _decode_count,
     "floor": _decode_count,
@@ -136,6 +137,7 @@
     "sender": _decode_sender_view,
     "incarnation": _decode_incarnation,
     "former": _decode_incarnation,
+    "successor": _decode_incarnation,
     "founders": _decode_roster,
     "joined": _decode_incarnations_by_seat,
 }
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/identity.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/identity.py
@@ -6,6 +6,10 @@
 
 __all__ = ["Incarnation", "SenderView", "consistent", "exclude_replaced", "majority"]
 
+_SUCCESSION = "."
+_COUNT_DIGITS = 6
+_HEXADECIMAL = 16
+
 
 @total_ordering
 class Incarnation(Record):
@@ -39,6 +43,32 @@
     def __hash__(self):
         return hash((self.generation, self.nonce))
 
+    def succeeded_by(self, nonce):
+        """
+        Create the identity of a folder that takes over the votes of this one.
+
+        It is above this identity and below every other one that is above this one:
+        whoever has replaced the predecessor has replaced its successor, too.
+
+        Parameters
+        ----------
+        nonce : str
+            Distinguishes the successors of one folder.
+
+        Returns
+        -------
+        Incarnation
+
+        Examples
+        --------
+        >>> Incarnation(2, "ab").succeeded_by("x").succeeded_by("y").nonce
+        'ab.000002.y'
+        """
+        first, _, rest = self.nonce.partition(_SUCCESSION)
+        count = int(rest.partition(_SUCCESSION)[0] or "0", _HEXADECIMAL) + 1
+        number = f"{count:0{_COUNT_DIGITS}x}"
+        return Incarnation(self.generation, _SUCCESSION.join((first, number, nonce)))
+
 
 class SenderView(Record):
     """
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/messages.py
@@ -11,6 +11,8 @@
     "CopyPage",
     "Forget",
     "Forgotten",
+    "HandOver",
+    "HandingOver",
     "Hello",
     "HelloReply",
     "KeyedSlot",
@@ -20,6 +22,8 @@
     "Read",
     "ReadReply",
     "Rejected",
+    "Release",
+    "Released",
     "Scan",
     "ScanPage",
     "SeatQuery",
@@ -126,6 +130,37 @@
         self.incarnation = incarnation
 
 
+class HandOver(Record):
+    """
+    Request of a successor that the holder of a seat stops voting and is copied.
+
+    Parameters
+    ----------
+    seat : str
+    address : str
+        Of the successor's process.
+    nonce : str
+        Distinguishes the successors of one holder.
+    """
+
+    __slots__ = ("seat", "address", "nonce")
+
+    def __init__(self, seat, address, nonce):
+        self.seat = seat
+        self.address = address
+        self.nonce = nonce
+
+
+class Release(Record):
+    """Request of a successor that has copied all to vote in the holder's place."""
+
+    __slots__ = ("seat", "incarnation")
+
+    def __init__(self, seat, incarnation):
+        self.seat = seat
+        self.incarnation = incarnation
+
+
 class SeatQuery(Record):
     """Request for the identities that are confirmed as holders of each seat."""
 
@@ -251,6 +286,35 @@
         self.incarnation = incarnation
 
 
+class HandingOver(Record):
+    """Grant of a `HandOver`: the sender votes no more while its successor copies."""
+
+    __slots__ = ("sender", "incarnation")
+
+    def __init__(self, sender, incarnation):
+        self.sender = sender
+        self.incarnation = incarnation
+
+
+class Released(Record):
+    """
+    Grant of a `Release`, sent once it is synced that the sender never votes again.
+
+    Parameters
+    ----------
+    sender : SenderView
+        The former holder.
+    joined : dict of str to list of Incarnation
+        See `SeatReport`.
+    """
+
+    __slots__ = ("sender", "joined")
+
+    def __init__(self, sender, joined):
+        self.sender = sender
+        self.joined = joined
+
+
 class SeatReport(Record):
     """
     Reply to a `SeatQuery`.
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/state.py
@@ -10,10 +10,12 @@
 from gooseberryyoke.register.changes import (
     FloorRaised,
     Founded,
+    HandedOver,
     Identified,
     Joined,
     PeerSeen,
     Reclaimed,
+    Resumed,
     SeatNamed,
     SeatTaken,
     SlotDropped,
@@ -21,13 +23,22 @@
     SlotStored,
 )
 
-__all__ = ["COPYING", "FRESH", "READY", "RECLAIMING", "RETURNING", "ReplicaState"]
+__all__ = [
+    "COPYING",
+    "FRESH",
+    "HANDED_OVER",
+    "READY",
+    "RECLAIMING",
+    "RETURNING",
+    "ReplicaState",
+]
 
 FRESH = "fresh"
 COPYING = "copying"
 RETURNING = "returning"
 RECLAIMING = "reclaiming"
 READY = "ready"
+HANDED_OVER = "handed-over"
 
 
 class ReplicaState:
@@ -43,9 +54,11 @@
     status : str
         ``FRESH`` until the folder has been part of a majority, then ``READY``;
         ``RECLAIMING`` while the replica regains its seat from a holder that never
-        joined.
+        joined, ``HANDED_OVER`` once its successor votes in its place.
     former : Incarnation or None
         Identity under which the folder voted last; set only while reclaiming.
+    successor : Incarnation or None
+        Identity to which the seat was handed over.
     founders : dict of str to Incarnation
         Identities that began together with an empty state.
     roster : dict of str to Incarnation
@@ -65,6 +78,7 @@
         "incarnation",
         "status",
         "former",
+        "successor",
         "founders",
         "roster",
         "joined",
@@ -78,6 +92,7 @@
         self.incarnation = None
         self.status = FRESH
         self.former = None
+        self.successor = None
         self.founders = {}
         self.roster = {}
         self.joined = {}
@@ -163,6 +178,16 @@
         self.incarnation = change.incarnation
         self._record_holder(self.seat, change.incarnation)
 
+    @apply.register
+    def _(self, change: HandedOver):
+        self.status = HANDED_OVER
+        self.successor = change.successor
+
+    @apply.register
+    def _(self, change: Resumed):
+        self.status = READY
+        self.successor = None
+
     @apply.register
     def _(self, change: SeatNamed):
         self._record_holder(change.seat, change.incarnation)
@@ -218,8 +243,10 @@
         changes += [PeerSeen(*key, position) for key, position in self.seen.items()]
         changes.append(FloorRaised(self.floor))
         changes += [SlotStored(key, slot) for key, slot in self.slots.items()]
-        if self.status == READY:
+        if self.status in (READY, HANDED_OVER):
             changes.append(Joined())
+        if self.status == HANDED_OVER:
+            changes.append(HandedOver(self.successor))
         if self.status == RECLAIMING:
             changes.append(Reclaimed(self.incarnation, self.former))
         return changes
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/tests/test_register_codec.py
@@ -31,6 +31,8 @@
     "incarnation": INCARNATION,
     "founders": {"r1": INCARNATION},
     "former": INCARNATION,
+    "address": "127.0.0.1:7",
+    "successor": INCARNATION,
     "joined": {"r1": [INCARNATION]},
     "seat": "r1",
     "nonce": "n",
