Take a reply whose status HTTP lacks for no answer

Cause: the parser bounds a status by 999, and nothing else looked at it. HTTP knows 100 to 599; what another one means for whether the request ran, nobody can tell.

Change: the client breaks such an exchange off like any other that is no answer: may-have-run, repeated elsewhere where that is allowed, 502 otherwise.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/client.py
@@ -24,6 +24,7 @@
 
 _SAFE_METHODS = ("GET", "HEAD")
 _REQUEST_TIMEOUT = 408
+_HIGHEST_STATUS = 599
 _MOST_INFORMATIONAL = 16
 """Replies 1xx before the final one; a server may send them without end."""
 
@@ -388,10 +389,17 @@
             if isinstance(event, h11.ConnectionClosed):
                 raise trio.BrokenResourceError("closed before a reply")
             if not isinstance(event, h11.InformationalResponse):
-                return event
+                return _checked(event)
         raise h11.RemoteProtocolError(f"over {_MOST_INFORMATIONAL} replies 1xx")
 
 
+def _checked(head):
+    # Others mean nothing outside the peer, not even that it has worked.
+    if head.status_code > _HIGHEST_STATUS:
+        raise h11.RemoteProtocolError(f"status {head.status_code} is none of HTTP")
+    return head
+
+
 def _was_closing(reply):
     # A server that closes an idle connection says so with 408; a request that
     # crossed it was not read and may go out again, whatever its kind.
