Don't acknowledge what another writer's entry keeps out

Cause: a control process that read another writer's heartbeat first holds that entry for the engine's. It ignored what the engine said from then on, and answered 200 all the same.

Which of two writers is right can't be told here: to believe the later one would let any odd entry take a sound engine out.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -115,6 +115,35 @@
         """Answer every held call at once: the process ends."""
         self._feed.leave()
 
+    def resolve(self, entry):
+        """
+        Find the life that an announcement is of, before it is taken.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            As the server states it.
+
+        Returns
+        -------
+        ServerEntry or None
+            None if it is not to be acknowledged: another writer holds its id.
+        """
+        return None if self._is_contradicted(entry) else entry
+
+    def _is_contradicted(self, entry):
+        if not self.servers.contradicts(entry):
+            return False
+        log_event(
+            "announcement-contradicts",
+            level="warning",
+            server=entry.id,
+            service=entry.service,
+            address=entry.address,
+            born_ms=entry.born_ms,
+        )
+        return True
+
     def announce(self, entry):
         """
         Take a server's announcement, and tell followers of it.
@@ -128,15 +157,7 @@
         Departure or None
             What has to be settled before the announcement is acknowledged.
         """
-        if self.servers.contradicts(entry):
-            log_event(
-                "announcement-contradicts",
-                level="warning",
-                server=entry.id,
-                service=entry.service,
-                address=entry.address,
-                born_ms=entry.born_ms,
-            )
+        if self._is_contradicted(entry):
             return None
         self._take_announced(entry)
         if entry.state is ServerState.READY:
