Let a life with an earlier start count once it goes on alone

Cause: lives of one id are ordered by the start that they state, a time of day. One that states an earlier start than the life before counted as a former one for good, and its announcements were acknowledged and dropped. The same with one odd entry that names a start far in the future: the engine's own word never counted again.

Change: an announcement with an earlier start than the known life's is refused with 503 until it is continued, half a second or more later, with no word of the known life in between; then the life counts as one that started after it (`LifeOrder`). Words of a former life that a frozen process finds waiting come all at once and don't count.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from gooseberryyoke.membership.departure import Departure
+from gooseberryyoke.membership.life_order import LifeOrder
 from gooseberryyoke.membership.server_registry import ServerRegistry, ServerState
 from gooseberryyoke.routing.table_view import TableView
 from gooseberryyoke_daemon.control.feed import Feed
@@ -65,6 +66,7 @@
     ):
         self.observer = ControlObserver()
         self.servers = ServerRegistry()
+        self._lives = LifeOrder()
         self.news = TableView()
         self.store = store
         self._keeper = keeper
@@ -108,7 +110,9 @@
             task_status.started()
             while True:
                 await trio.sleep(_LOOK_S)
-                for id in self.servers.remove_expired(trio.current_time(), _FORGET_S):
+                forgotten = self.servers.remove_expired(trio.current_time(), _FORGET_S)
+                self._lives.forget(forgotten)
+                for id in forgotten:
                     log_event("server-forgotten", server=id, silent_s=_FORGET_S)
 
     def leave(self):
@@ -127,9 +131,24 @@
         Returns
         -------
         ServerEntry or None
-            None if it is not to be acknowledged: another writer holds its id.
+            None if it is not to be acknowledged: another writer holds its id, or a life
+            that started later and may have ended.
         """
-        return None if self._is_contradicted(entry) else entry
+        known = self.servers.entries.get(entry.id)
+        heard_s = self.servers.last_heard_s.get(entry.id, float("-inf"))
+        found = self._lives.resolve(entry, known, heard_s, trio.current_time())
+        if found is None:
+            log_event(
+                "announcement-of-earlier-start",
+                level="warning",
+                server=entry.id,
+                born_ms=entry.born_ms,
+                known_ms=known.born_ms,
+            )
+            return None
+        if self._is_contradicted(found):
+            return None
+        return found
 
     def _is_contradicted(self, entry):
         if not self.servers.contradicts(entry):
@@ -254,6 +273,9 @@
             What has to be settled before the farewell is acknowledged. None if neither
             the farewell nor this process knows which incarnation ends.
         """
+        if self._lives.is_unsettled(id, born_ms):
+            return None
+        born_ms = self._lives.start_of(id, born_ms)
         known = self.servers.entries.get(id)
         if born_ms is None and known is None:
             return None
--- /dev/null
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_life_order.py
@@ -0,0 +1,96 @@
+import pytest
+
+from gooseberryyoke.membership.life_order import LifeOrder
+from gooseberryyoke.membership.server_registry import ServerEntry, ServerState
+
+BEAT_S = 1.2
+KNOWN_MS, BEFORE_MS = 5000, 4200
+
+
+def entry(born_ms, sequence=1, state=ServerState.READY, service="s"):
+    return ServerEntry("i", born_ms, sequence, service, "10.0.0.1:80", "a", 6, state)
+
+
+KNOWN = entry(KNOWN_MS, 9)
+
+
+def resolve(order, *announcements, known=KNOWN, heard_s=0.0):
+    return [
+        order.resolve(announced, known, heard_s, at_s)
+        for at_s, announced in announcements
+    ]
+
+
+def test_announcements_of_the_known_life_and_of_later_ones_count_as_stated():
+    order = LifeOrder()
+    for announced in (entry(KNOWN_MS, 10), entry(KNOWN_MS + 1), entry(0, 3)):
+        assert resolve(order, (1.0, announced)) == [announced]
+    assert order.resolve(entry(1), None, 0.0, 1.0) == entry(1)
+
+
+def test_a_life_with_an_earlier_start_that_goes_on_counts_as_the_present_one():
+    # Guards against a server whose clock has stepped back, and whose departure is
+    # acknowledged while requests go on to it.
+    order = LifeOrder()
+    first, second = resolve(
+        order, (1.0, entry(BEFORE_MS, 1)), (1.0 + BEAT_S, entry(BEFORE_MS, 2))
+    )
+    assert first is None
+    assert second == entry(KNOWN_MS + 1, 2)
+    assert order.start_of("i", BEFORE_MS) == KNOWN_MS + 1
+    (third,) = resolve(order, (4.0, entry(BEFORE_MS, 3)), known=second, heard_s=2.2)
+    assert third == entry(KNOWN_MS + 1, 3)
+
+
+@pytest.mark.parametrize(
+    ("announcements", "heard_s"),
+    [
+        pytest.param([(1.0, 1), (1.01, 2), (1.02, 3)], 0.0, id="read at once"),
+        pytest.param([(1.0, 2), (3.0, 2)], 0.0, id="sent twice"),
+        pytest.param([(1.0, 2), (3.0, 1)], 0.0, id="out of order"),
+        pytest.param([(1.0, 1), (3.0, 2)], 2.0, id="known life alive"),
+    ],
+)
+def test_words_of_a_former_life_do_not_count(announcements, heard_s):
+    # Guards against a former life, read late by a process that was frozen, that makes
+    # a server which leaves take requests again.
+    order = LifeOrder()
+    found = resolve(
+        order,
+        *((at_s, entry(BEFORE_MS, number)) for at_s, number in announcements),
+        heard_s=heard_s,
+    )
+    assert found == [None] * len(announcements)
+    assert order.start_of("i", BEFORE_MS) == BEFORE_MS
+
+
+def test_two_writers_with_earlier_starts_do_not_support_each_other():
+    order = LifeOrder()
+    found = resolve(
+        order,
+        (1.0, entry(BEFORE_MS, 1)),
+        (3.0, entry(BEFORE_MS, 2, service="other")),
+        (5.0, entry(BEFORE_MS - 1, 3)),
+    )
+    assert found == [None] * 3
+
+
+def test_one_odd_entry_with_a_late_start_does_not_keep_the_server_out():
+    # Guards against a start far in the future, written by another under a known id.
+    order = LifeOrder()
+    odd = entry(2**53, 1, service="other")
+    found = resolve(
+        order, (1.0, entry(KNOWN_MS, 10)), (2.2, entry(KNOWN_MS, 11)), known=odd
+    )
+    assert found == [None, entry(2**53 + 1, 11)]
+
+
+def test_what_is_kept_of_forgotten_servers_is_dropped():
+    order = LifeOrder()
+    resolve(order, (1.0, entry(BEFORE_MS, 1)), (3.0, entry(BEFORE_MS, 2)))
+    assert not order.is_unsettled("i", BEFORE_MS)
+    resolve(order, (4.0, entry(7, 1)))
+    assert order.is_unsettled("i", 7)
+    order.forget(["i"])
+    assert not order.is_unsettled("i", 7)
+    assert order.start_of("i", BEFORE_MS) == BEFORE_MS
