Let an announcement take an address only once its holder is silent

Change: the holder of an address is a rival like the life that holds an id. An entry takes its place at once if the holder has left, and otherwise once it goes on announcing itself, half a second or more later, with no word of the holder in between. An engine at the address of one that has crashed is taken one announcement later.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/control/node.py
@@ -6,7 +6,7 @@
 from returns.result import Success
 
 from gooseberryyoke.membership.departure import Departure
-from gooseberryyoke.membership.life_order import LifeOrder
+from gooseberryyoke.membership.life_order import LifeOrder, Rival
 from gooseberryyoke.membership.server_registry import ServerRegistry, ServerState
 from gooseberryyoke.routing.table_view import TableView
 from gooseberryyoke_daemon.control.feed import Feed
@@ -131,19 +131,22 @@
         Returns
         -------
         ServerEntry or None
-            None if it is not to be acknowledged: another writer holds its id, or a life
-            that started later and may have ended.
+            None if it is not to be acknowledged: another writer holds its id, or
+            another life holds its id or its address and may have ended.
         """
-        known = self.servers.entries.get(entry.id)
-        heard_s = self.servers.last_heard_s.get(entry.id, float("-inf"))
-        found = self._lives.resolve(entry, known, heard_s, trio.current_time())
+        rivals = [
+            Rival(known, self.servers.last_heard_s[known.id])
+            for known in self.servers.rivals(entry)
+        ]
+        found = self._lives.resolve(entry, rivals, trio.current_time())
         if found is None:
             log_event(
-                "announcement-of-earlier-start",
+                "announcement-unproved",
                 level="warning",
                 server=entry.id,
                 born_ms=entry.born_ms,
-                known_ms=known.born_ms,
+                address=entry.address,
+                rivals=[rival.entry.id for rival in rivals],
             )
             return None
         if self._is_contradicted(found):
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/life_order.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/life_order.py
@@ -1,17 +1,18 @@
-"""Order of a server's incarnations where its clock has stepped back."""
+"""Which of several lives that announce themselves is the present one."""
 
+from gooseberryyoke.membership.server_state import ServerState
 from gooseberryyoke.record import Record
 
-__all__ = ["LifeOrder"]
+__all__ = ["LifeOrder", "Rival"]
 
 _MIN_SPAN_S = 0.5
-"""Time in seconds from the first announcement of a life with an earlier start to the
-one from which it counts. What a frozen process finds waiting is read within less."""
+"""Time in seconds from the first announcement of a life that has a rival to the one
+from which it counts. What a frozen process finds waiting is read within less."""
 
 
 class _Claim(Record):
     """
-    Announcements of a life that started earlier than the known one.
+    Announcements of a life that has a rival.
 
     Parameters
     ----------
@@ -42,14 +43,40 @@
         return is_same and entry.sequence > self.sequence
 
 
+class Rival(Record):
+    """
+    An entry that may stand against an announcement.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+    heard_s : float
+        When it was heard of last, in seconds.
+    """
+
+    __slots__ = ("entry", "heard_s")
+
+    def __init__(self, entry, heard_s):
+        self.entry = entry
+        self.heard_s = heard_s
+
+    def is_against(self, entry, start_ms):
+        """Return whether only this one or the announcement can hold."""
+        if self.entry.id == entry.id:
+            return self.entry.born_ms > start_ms
+        return self.entry.state is not ServerState.GONE
+
+
 class LifeOrder:
     """
     Gives each life of a server a start after that of the life before.
 
     Servers state their start by their own clock. One that starts again after its clock
     has stepped back states an earlier start, and would count as its own former life for
-    good: its departure would be acknowledged and not acted upon. A life that goes on
-    announcing itself while the known one is silent is the present one.
+    good: its departure would be acknowledged and not acted upon. And one odd entry with
+    a late start under its id, or at its address, would keep a sound server out. So a
+    life only takes another's place if it goes on announcing itself while the other is
+    silent.
     """
 
     __slots__ = ("_claims", "_starts")
@@ -58,7 +85,7 @@
         self._claims = {}
         self._starts = {}
 
-    def resolve(self, entry, known, known_heard_s, now):
+    def resolve(self, entry, rivals, now):
         """
         Find the start under which an announcement counts.
 
@@ -66,36 +93,40 @@
         ----------
         entry : ServerEntry
             As stated.
-        known : ServerEntry or None
-            The newest one of its id.
-        known_heard_s : float
-            When the known life was heard of last, in seconds.
+        rivals : list of Rival
+            The newest entry of its id, and the one that holds its address.
         now : float
             Current time, in seconds.
 
         Returns
         -------
         ServerEntry or None
-            None if it can't be told yet whether it is of the present life.
+            None if it can't be told yet whether it is of a present life.
         """
-        if known is None or not entry.born_ms:
+        if not entry.born_ms:
             return entry
-        entry_start = self.start_of(entry.id, entry.born_ms)
-        if entry_start >= known.born_ms:
+        start_ms = self.start_of(entry.id, entry.born_ms)
+        against = [rival for rival in rivals if rival.is_against(entry, start_ms)]
+        if not against:
             self._claims.pop(entry.id, None)
-            return entry.replace(born_ms=entry_start)
-        claim = self._claims.get(entry.id)
-        if claim is None or known_heard_s > claim.since_s:
-            claim = None
-        if claim is None or not claim.is_continued_by(entry):
-            self._claims[entry.id] = _claim_of(entry, now)
-            return None
-        if now - claim.since_s < _MIN_SPAN_S:
-            self._claims[entry.id] = claim.replace(sequence=entry.sequence)
+            return entry.replace(born_ms=start_ms)
+        if not self._is_proved(entry, max(rival.heard_s for rival in against), now):
             return None
         del self._claims[entry.id]
-        self._starts[entry.id] = (entry.born_ms, known.born_ms + 1)
-        return entry.replace(born_ms=known.born_ms + 1)
+        latest_ms = max(rival.entry.born_ms for rival in against)
+        if latest_ms >= start_ms:
+            start_ms = latest_ms + 1
+            self._starts[entry.id] = (entry.born_ms, start_ms)
+        return entry.replace(born_ms=start_ms)
+
+    def _is_proved(self, entry, rival_heard_s, now):
+        claim = self._claims.get(entry.id)
+        is_alone = claim is not None and rival_heard_s <= claim.since_s
+        if not is_alone or not claim.is_continued_by(entry):
+            self._claims[entry.id] = _claim_of(entry, now)
+            return False
+        self._claims[entry.id] = claim.replace(sequence=entry.sequence)
+        return now - claim.since_s >= _MIN_SPAN_S
 
     def start_of(self, id, born_ms):
         """
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
@@ -222,6 +222,22 @@
         self._store(entry, now, is_change)
         return is_change
 
+    def rivals(self, entry):
+        """
+        List the entries that hold the id or the address of an announcement.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+            The announcement.
+
+        Returns
+        -------
+        list of ServerEntry
+        """
+        ids = {entry.id, self._by_address.get(entry.address)}
+        return [self.entries[id] for id in ids if id in self.entries]
+
     def contradicts(self, entry):
         """
         Return whether an announcement is another server's under a known id.
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_life_order.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_life_order.py
@@ -1,6 +1,6 @@
 import pytest
 
-from gooseberryyoke.membership.life_order import LifeOrder
+from gooseberryyoke.membership.life_order import LifeOrder, Rival
 from gooseberryyoke.membership.server_registry import ServerEntry, ServerState
 
 BEAT_S = 1.2
@@ -15,17 +15,15 @@
 
 
 def resolve(order, *announcements, known=KNOWN, heard_s=0.0):
-    return [
-        order.resolve(announced, known, heard_s, at_s)
-        for at_s, announced in announcements
-    ]
+    rivals = [Rival(known, heard_s)]
+    return [order.resolve(announced, rivals, at_s) for at_s, announced in announcements]
 
 
 def test_announcements_of_the_known_life_and_of_later_ones_count_as_stated():
     order = LifeOrder()
     for announced in (entry(KNOWN_MS, 10), entry(KNOWN_MS + 1), entry(0, 3)):
         assert resolve(order, (1.0, announced)) == [announced]
-    assert order.resolve(entry(1), None, 0.0, 1.0) == entry(1)
+    assert order.resolve(entry(1), [], 1.0) == entry(1)
 
 
 def test_a_life_with_an_earlier_start_that_goes_on_counts_as_the_present_one():
@@ -94,3 +92,34 @@
     order.forget(["i"])
     assert not order.is_unsettled("i", 7)
     assert order.start_of("i", BEFORE_MS) == BEFORE_MS
+
+
+def at_address(id, born_ms, sequence=1, state=ServerState.READY):
+    return ServerEntry(id, born_ms, sequence, "s", "10.0.0.1:80", "a", 6, state)
+
+
+@pytest.mark.parametrize("born_ms", [BEFORE_MS, KNOWN_MS + 100])
+def test_one_odd_entry_at_the_address_of_a_server_does_not_take_its_place(born_ms):
+    # Guards against an entry of another writer, by which a sound server counts as gone.
+    order = LifeOrder()
+    odd = at_address("odd", born_ms)
+    assert resolve(order, (1.0, odd), (9.0, odd), heard_s=8.0) == [None, None]
+
+
+@pytest.mark.parametrize("born_ms", [BEFORE_MS, KNOWN_MS + 100])
+def test_a_server_at_the_address_of_one_that_has_crashed_takes_its_place(born_ms):
+    order = LifeOrder()
+    found = resolve(
+        order,
+        (1.0, at_address("next", born_ms, 1)),
+        (1.0 + BEAT_S, at_address("next", born_ms, 2)),
+        heard_s=0.9,
+    )
+    start_ms = max(born_ms, KNOWN_MS + 1)
+    assert found == [None, at_address("next", start_ms, 2)]
+
+
+def test_the_address_of_a_server_that_has_left_is_taken_at_once():
+    gone = at_address("i", KNOWN_MS, 9, ServerState.GONE)
+    next = at_address("next", BEFORE_MS)
+    assert resolve(LifeOrder(), (1.0, next), known=gone, heard_s=0.9) == [next]
