--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/replica/replica.py
@@ -234,7 +234,8 @@
             Its address; None for whoever copies the other seats.
         """
         self.yields = successor is None
-        self.acceptor.offered_to = successor
+        if self.acceptor is not None:
+            self.acceptor.offered_to = successor
 
     def end_hand_over(self):
         """
@@ -245,13 +246,16 @@
         bool
             Whether the seat is kept.
         """
-        self.yields, self.acceptor.offered_to = False, None
+        self.yields = False
+        if self.acceptor is None:
+            return True
+        self.acceptor.offered_to = None
         return self.acceptor.take_back()
 
     @property
-    def copied_pages(self):
+    def succession_requests(self):
         """Number of requests of successors so far."""
-        return self.acceptor.copied_pages
+        return 0 if self.acceptor is None else self.acceptor.succession_requests
 
     @property
     def is_handed_over(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/hand_over.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/hand_over.py
@@ -64,7 +64,7 @@
         log_event("seat-handed-over", seat=seat)
         with trio.move_on_after(timeout_s):
             tried = 0
-            while not self._is_given(seat) and self._spares():
+            while not self._is_given(seat) and self.has_spare():
                 await self._offer(replica, self._choose(seat, tried), greet)
                 tried += 1
         self.successor, self.is_open = None, False
@@ -77,6 +77,10 @@
             log_event("seat-released", level="warning", seat=seat)
         return is_given
 
+    def has_spare(self):
+        """Tell whether any process without a seat is there."""
+        return bool(self._spares())
+
     def _is_given(self, seat):
         return self._seats.holders[seat].address != self._address
 
@@ -107,11 +111,11 @@
             replica.end_hand_over()
 
     async def _wait_for_progress(self, replica):
-        seen, since_s = replica.copied_pages, trio.current_time()
+        seen, since_s = replica.succession_requests, trio.current_time()
         while not self._is_given(replica.seat):
             await trio.sleep(_POLL_S)
-            if replica.copied_pages != seen or replica.is_handed_over:
+            if replica.succession_requests != seen or replica.is_handed_over:
                 # A successor that was released votes, or withdraws when it is back.
-                seen, since_s = replica.copied_pages, trio.current_time()
+                seen, since_s = replica.succession_requests, trio.current_time()
             if trio.current_time() - since_s > _PATIENCE_S:
                 return
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/seats/keeper.py
@@ -232,8 +232,9 @@
             self._is_woken = trio.Event()
 
     def _is_succeeded(self):
-        holder = self._seats.holders[self.replica.seat]
-        return self.replica.is_handed_over and holder.address != self.address
+        if not self.replica.is_handed_over:
+            return False
+        return self._seats.holders[self.replica.seat].address != self.address
 
     def _offer_of(self, seat):
         """Give the offer of a seat's holder, None without one."""
@@ -354,7 +355,8 @@
         """
         self._stops = True
         replica = self.replica
-        if replica is None or not replica.is_ready:
+        is_holder = replica is not None and replica.is_ready
+        if not is_holder or not self._hand_over.has_spare():
             await self._greet_all()
             return
         # It may have begun to vote since the last round of greetings.
--- a/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/register/acceptor.py
@@ -94,7 +94,7 @@
         Address of the process that may be granted a `HandOver`.
     successor : Incarnation or None
         Identity that copies this replica, which doesn't vote meanwhile.
-    copied_pages : int
+    succession_requests : int
         Number of requests of successors, as a sign of their progress.
     """
 
@@ -103,7 +103,7 @@
         "is_admitted",
         "offered_to",
         "successor",
-        "copied_pages",
+        "succession_requests",
     )
 
     def __init__(self, state, is_admitted=True):
@@ -111,7 +111,7 @@
         self.is_admitted = is_admitted
         self.offered_to = None
         self.successor = None
-        self.copied_pages = 0
+        self.succession_requests = 0
 
     def phase(self):
         """
@@ -182,7 +182,7 @@
         """
         if message.seat != self.state.seat:
             return Answer(NotReady(self.sender_view()))
-        self.copied_pages += 1
+        self.succession_requests += 1
         return self._answer_successor(message)
 
     def take_back(self):
