--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	$(BIN)/python -m tools.soak --crashes --seeds 20 --seconds 15
 	$(BIN)/python -m tools.soak --departures --seeds 20 --seconds 30
 	$(BIN)/python -m tools.soak --retries --seeds 20 --seconds 30
+	$(BIN)/python -m tools.soak --replacements --seeds 20 --seconds 30
 
 clean:
 	rm -rf $(VENV) out
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,6 +12,7 @@
 from tools.soak.crash_soak import CrashSoak
 from tools.soak.departure_soak import DepartureSoak
 from tools.soak.evacuation_soak import EvacuationSoak
+from tools.soak.replacement_soak import ReplacementSoak
 from tools.soak.retry_soak import RetrySoak
 from tools.soak.soak import Soak
 
@@ -23,6 +24,7 @@
     "crashes": CrashSoak,
     "departures": DepartureSoak,
     "retries": RetrySoak,
+    "replacements": ReplacementSoak,
 }
 """Soaks of the deployment of gateways, by their options."""
 
@@ -83,6 +85,12 @@
     flag_value="departures",
     help="Let engines leave, and kill who acknowledges that, instead.",
 )
+@click.option(
+    "--replacements",
+    "kind",
+    flag_value="replacements",
+    help="Replace control machines as planned, and lose others meanwhile, instead.",
+)
 @click.option("--gateways", default=3, show_default=True, help="With --retries only.")
 def main(first, seeds, seconds, folder, kind, gateways):
     """Run a deployment under random faults, and check what its callers get."""
--- a/tools/soak/routed_deployment.py
+++ b/tools/soak/routed_deployment.py
@@ -3,6 +3,7 @@
 import os
 import sys
 from random import Random
+from shutil import rmtree
 from time import time
 
 import trio
@@ -19,6 +20,7 @@
     WireError,
 )
 from gooseberryyoke_platform.names import (
+    CONFIG_GET,
     CONFIG_PUT,
     HEADERS,
     HEARTBEAT_PREFIX,
@@ -48,6 +50,9 @@
 _ANSWER_S = (0.01, 0.1)
 _CALL_S = 2.0
 _START_S = 30.0
+_GRACE_S = 3
+_FIRST_ADDED = 30
+"""Number of the address before those of control processes that are added."""
 _POLL_S = 0.1
 _OK = 200
 _KEY = "soak-key"
@@ -184,6 +189,8 @@
         The configuration.
     gateways : int
     retry_limit : RetryLimit
+    grace_s : int
+        For a planned stop.
 
     Attributes
     ----------
@@ -201,7 +208,9 @@
         document=_DOCUMENT,
         gateways=_GATEWAYS,
         retry_limit=_RETRY_LIMIT,
+        grace_s=_GRACE_S,
     ):
+        self._grace_s = grace_s
         folder.mkdir(parents=True)
         self.processes = Processes(folder)
         self.controls = tuple(f"control-{n}" for n in range(1, _CONTROLS + 1))
@@ -212,7 +221,7 @@
         self._rng = Random(f"{seed} deployment")
         self._client = HttpClient(TcpNetwork())
         self._caller = HttpClient(TcpNetwork(), keeps_host=True)
-        self._attempts = 0
+        self._attempts = self._added = 0
         names = (*self.controls, *self.gateways)
         self._hosts = {name: _host(number) for number, name in enumerate(names, 1)}
         self.engines = [
@@ -246,8 +255,7 @@
             with trio.fail_after(_START_S):
                 await self._put_table()
                 await self.wait_until_ready()
-            for name in self.controls:
-                self._write_settings(name, is_first=False)
+            self._write_all_settings()
             task_status.started()
 
     def start(self, name):
@@ -266,6 +274,90 @@
             ],
         )
 
+    def add_control(self):
+        """
+        Start a control process on a machine that was never there before.
+
+        Returns
+        -------
+        str
+            Its name.
+        """
+        self._added += 1
+        number = _CONTROLS + self._added
+        name = f"control-{number}"
+        self._hosts[name] = _host(_FIRST_ADDED + self._added)
+        # All know the new list of control processes from the next look at their files.
+        self.controls = (*self.controls, name)
+        self._write_all_settings()
+        self.start(name)
+        return name
+
+    async def remove_control(self, name, timeout_s):
+        """
+        Stop a control process as planned, and take its machine away.
+
+        Parameters
+        ----------
+        name : str
+        timeout_s : float
+            After which it is killed.
+
+        Returns
+        -------
+        bool
+            Whether it ended in time.
+        """
+        is_late = await self.processes.stop([name], timeout_s)
+        self.controls = tuple(one for one in self.controls if one != name)
+        self._write_all_settings()
+        self.lose_disk(name)
+        return not is_late
+
+    def lose_disk(self, name):
+        """Empty the data folder of a process that is down."""
+        rmtree(self._folder / name, ignore_errors=True)
+
+    async def read_version(self, name):
+        """
+        Read the version of the configuration at a control process.
+
+        Parameters
+        ----------
+        name : str
+
+        Returns
+        -------
+        int or None
+            None if it doesn't answer, or has none.
+        """
+        address = Address(self._hosts[name], _CONTROL_PORT)
+        try:
+            reply = await self._client.json(
+                "GET", address, CONFIG_GET, None, timeout_s=_CALL_S
+            )
+        except WireError:
+            return None
+        return reply.payload["version"] if reply.status == _OK else None
+
+    async def put_version(self, version):
+        """
+        Send the configuration under a version; see `tell`.
+
+        Parameters
+        ----------
+        version : int
+
+        Returns
+        -------
+        str or None
+        """
+        return await self.tell(CONFIG_PUT, {**self._document, "version": version})
+
+    def _write_all_settings(self):
+        for name in (*self.controls, *self.gateways):
+            self._write_settings(name, is_first=False)
+
     async def wait_until_ready(self):
         """Wait until every gateway takes requests."""
         for name in self.gateways:
@@ -386,12 +478,16 @@
 ready = "{host}:{_READY_PORT}"
 directory = "{host}:{_DIRECTORY_PORT}"
 [bounds]
-grace_period_s = 3
+grace_period_s = {self._grace_s}
 retry_budget_ratio = {limit.ratio}
 retry_budget_slack = {limit.slack}
 budget_window_s = {limit.window_s}
 """
-        (self._folder / f"{name}.toml").write_text(text)
+        # Whoever reads it meanwhile finds the former file whole.
+        path = self._folder / f"{name}.toml"
+        new = path.with_suffix(".new")
+        new.write_text(text)
+        new.replace(path)
 
 
 async def _answers(client, address, request):
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 from tools.soak.evacuation_soak import EvacuationSoak, SentOrder, arrivals_after
 from tools.soak.faults import Kill, Roll, draw_faults
 from tools.soak.proxy import Proxy
+from tools.soak.replacement_soak import ReplacementSoak
 from tools.soak.retry_soak import RetrySoak
 from tools.soak.soak import Soak
 
@@ -183,3 +184,12 @@
     result = trio.run(soak.run)
     assert soak.retries
     assert [str(point) for point in result.points if point.faults] == []
+
+
+def test_a_short_run_of_planned_replacements_with_a_fixed_seed(tmp_path):
+    # Real control processes are stopped for good, some while others lose their disks:
+    # no acknowledged configuration is lost, and each stop ends within its grace.
+    soak = ReplacementSoak(tmp_path / "run", seed=1, seconds=12.0)
+    result = trio.run(soak.run)
+    assert soak.replaced
+    assert [str(point) for point in result.points if point.faults] == []
