--- a/tools/proof/tests/test_proof_search.py
+++ b/tools/proof/tests/test_proof_search.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, str(ROOT))
 
 from gooseberryyoke.register import (  # noqa: E402
+    Acceptor,
     ReadOperation,
     Unavailable,
     Versioned,
@@ -41,6 +42,20 @@
     assert search_registers(seeds, profile, size).found == []
 
 
+def test_the_search_finds_a_holder_that_votes_while_it_is_copied(monkeypatch):
+    # Guards against a search that passes over what a succession has to rule out.
+    phase = Acceptor.phase
+
+    def voting_on(self):
+        successor, self.successor = self.successor, None
+        found = phase(self)
+        self.successor = successor
+        return found
+
+    monkeypatch.setattr(Acceptor, "phase", voting_on)
+    assert search_registers(range(60), "handed over").found
+
+
 @settings(
     max_examples=60,
     derandomize=True,
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -46,8 +46,9 @@
     merge_slot,
     next_incarnation,
 )
-from gooseberryyoke.register.state import FRESH, READY
+from gooseberryyoke.register.state import FRESH, HANDED_OVER, READY
 from tools.proof.history import Entry, History
+from tools.proof.succession import Succession
 
 __all__ = ["PROFILES", "Profile", "RegisterWorld"]
 
@@ -72,6 +73,8 @@
         Crash, loss of a disk, and a step of a replica on its way back.
     switch : float
         A seat's other folder goes on with it; there is an empty one at first.
+    succession : float
+        A step on the way of a seat from its holder to a successor.
     """
 
     __slots__ = (
@@ -83,9 +86,12 @@
         "disk",
         "join",
         "switch",
+        "succession",
     )
 
-    def __init__(self, step_s, request, reply, sync, crash, disk, join, switch=0):
+    def __init__(
+        self, step_s, request, reply, sync, crash, disk, join, switch=0, succession=0
+    ):
         self.step_s = step_s
         self.request = request
         self.reply = reply
@@ -94,6 +100,7 @@
         self.disk = disk
         self.join = join
         self.switch = switch
+        self.succession = succession
 
 
 PROFILES = {
@@ -104,10 +111,12 @@
     "crossed": Profile(0.004, 20, 20, 30, 0.05, 0.05, 8),
     # Seats are taken over, given up half-way and taken back.
     "contested": Profile(0.002, 12, 16, 20, 0.4, 0.3, 60, 2.0),
+    # Seats are handed over, several at a time, among losses and takeovers.
+    "handed over": Profile(0.002, 20, 24, 30, 0.2, 0.3, 40, 0.3, 3),
 }
 
 
-class _Replica:
+class WorldReplica:
     """One replica: what is synced, what is not, and how far it has joined."""
 
     def __init__(self, seat, changes):
@@ -194,10 +203,13 @@
         self.seats = tuple(f"r{number}" for number in range(1, size + 1))
         founders = {seat: Incarnation(1, seat) for seat in self.seats}
         self.replicas = {
-            seat: _Replica(seat, [Identified(seat, founders[seat]), Founded(founders)])
+            seat: WorldReplica(
+                seat, [Identified(seat, founders[seat]), Founded(founders)]
+            )
             for seat in self.seats
         }
         self.aside = {}
+        self._successions = {}
         self.faults_injected = Counter()
         self.histories = {f"k{number}": History() for number in range(keys)}
         self.steps = 0
@@ -207,6 +219,8 @@
         self._replies = []
         self._clients = {}
 
+    make_replica = WorldReplica
+
     @property
     def now(self):
         """Time in seconds."""
@@ -279,6 +293,7 @@
         yield self._lose_disk, profile.disk
         yield self._join, profile.join
         yield self._switch, profile.switch
+        yield self._hand_over, profile.succession
 
     def _begin(self):
         self._left -= 1
@@ -385,14 +400,28 @@
         if self.replicas[seat].state.status == READY:
             self.faults_injected["disk lost"] += 1
             incarnation = next_incarnation(seat, [], self.rng)
-            self.replicas[seat] = _Replica(seat, [Identified(seat, incarnation)])
+            self.replicas[seat] = WorldReplica(seat, [Identified(seat, incarnation)])
 
     def _may_lose(self, seat):
         """Tell whether the other seats bear it that one is out."""
         out = {r.seat for r in self.replicas.values() if self._is_out(r)}
         return len(out | {seat}) <= len(self.seats) - majority(len(self.seats))
 
+    def _hand_over(self):
+        """Go a step on with the succession of a seat, or begin one."""
+        seat = self.rng.choice(self.seats)
+        succession = self._successions.get(seat)
+        holder = self.replicas[seat]
+        if succession is None and holder.is_ready:
+            succession = self._successions[seat] = Succession(self, holder)
+        if succession is not None and not succession.go_on():
+            del self._successions[seat]
+
     def _is_out(self, replica):
+        succession = self._successions.get(replica.seat)
+        if succession is not None and succession.has_copied(replica):
+            # What it has voted for is on its successor's disk as well.
+            return False
         if replica.seat in self.aside:
             # A folder that has voted may be the wrong one of two.
             return not replica.is_ready
@@ -406,7 +435,7 @@
             return
         if seat not in self.aside:
             incarnation = next_incarnation(seat, [], self.rng)
-            self.aside[seat] = _Replica(seat, [Identified(seat, incarnation)])
+            self.aside[seat] = WorldReplica(seat, [Identified(seat, incarnation)])
         self._let_other_try(present)
         self.faults_injected["holder switched"] += 1
 
@@ -444,6 +473,8 @@
             replica.acceptor.is_admitted = False
 
     def _try_to_join(self, replica):
+        if replica.state.status == HANDED_OVER:
+            return
         if replica.way_in is not None:
             if next(replica.way_in, None) is None:
                 replica.way_in = None
@@ -505,7 +536,7 @@
         replies = {}
         for seat in self.rng.sample(sorted(seats), len(seats)):
             other = self.replicas[seat]
-            reply = self._call(other, message) if other.is_up else None
+            reply = self.call(other, message) if other.is_up else None
             if isinstance(reply, kind):
                 replies[seat] = reply
             yield seat
@@ -514,12 +545,12 @@
     def _greet(self, replica):
         hello = Hello(replica.seat, replica.state.incarnation, 0, True)
         return [
-            self._call(other, hello)
+            self.call(other, hello)
             for other in self.replicas.values()
             if other is not replica and other.is_up
         ]
 
-    def _call(self, replica, message):
+    def call(self, replica, message):
         """Call a replica that syncs at once."""
         answer = replica.acceptor.handle(message)
         self._replies += replica.sync()
@@ -539,7 +570,7 @@
         page = replica.copied.get(seat)
         after = page.slots[-1].key if page is not None else ""
         message = Copy(replica.seat, replica.state.incarnation, after, _PAGE_SLOTS)
-        page = self._call(self.replicas[seat], message)
+        page = self.call(self.replicas[seat], message)
         if not isinstance(page, CopyPage):
             replica.forget_copy()
             return
@@ -592,6 +623,12 @@
             for _ in range(2):
                 self._read_in_peace(key)
 
+    def _hand_over_in_peace(self):
+        """End the successions that are under way; begin none."""
+        for seat, succession in list(self._successions.items()):
+            if not succession.go_on():
+                del self._successions[seat]
+
     def _read_in_peace(self, key):
         client = self._start(ReadOperation(key), deadline_s=_SETTLE_STEPS)
         for _ in range(_SETTLE_STEPS):
@@ -603,6 +640,7 @@
                 if not replica.is_ready and self.rng.random() < _TURN_PART:
                     self._let_other_try(replica)
                 self._go_on(self.replicas[replica.seat])
+            self._hand_over_in_peace()
             actions = [self._sync, self._tick]
             actions += [self._deliver_request] * (3 if self._requests else 0)
             actions += [self._deliver_reply] * (3 if self._replies else 0)
