Read a server's word on its load within a range

What callers would see: after one answer of one engine, every request of that service at the gateway which heard it is answered 500, whichever engine is sound.

Cause: the numbers of requests that run and wait were read as whole numbers of any length. Of one with 401 digits no sum with a float can be made, so that each choice among the servers raises an error; a merely large one fills its group for half a minute.

More than 100,000 is no count now, and is logged as unreadable like any other.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/gateway/tests/test_backoff.py
@@ -380,3 +380,19 @@
         assert statuses(replies) == {200}
 
     run_routed(main)
+
+
+@pytest.mark.parametrize("told", ["9" * 401, "9" * 12, "-5", "1.5", "x"])
+@pytest.mark.parametrize("place", [None, "group"])
+def test_an_odd_count_of_requests_costs_no_other_request(told, place):
+    # Guards against a number of one server that no float holds, by which each choice
+    # among the servers fails, and the process ends with all that it serves.
+    async def main(session):
+        odd = (NAMES.load, f"{told},{told},0")
+        places = [place and member(rank) for rank in (0, 1)]
+        await session.add("s1", serving(odd), place=places[0])
+        await session.add("s2", serving(), place=places[1])
+        replies = await session.ask_often("/read/x", RATE, 2.0)
+        assert statuses(replies) == {200}
+
+    run_routed(main)
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/server_report.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/server_report.py
@@ -7,6 +7,8 @@
 
 _REFUSALS = (429, 503)
 _MOST_DIGITS = 18
+_MOST_REQUESTS = 100_000
+"""More than any server runs or holds."""
 
 
 class ServerReport(Record):
@@ -94,6 +96,10 @@
         running, waiting, _ = (int(part) for part in text.split(","))
     except ValueError:
         return None
+    # A larger one would fill the server for long, and beyond 308 digits no sum with a
+    # float can be made of it.
+    if not all(0 <= count <= _MOST_REQUESTS for count in (running, waiting)):
+        return None
     return running, waiting
 
 
