Let a server's own words count again after one odd entry under its life

One entry of another writer with the engine's id and start and another service or address, read before the engine's own first word (as after a restart of all control processes), kept its own words out: each got 503 at every control process until the entry was forgotten after 86,400 s. And one with a very high sequence number under a running engine's life hid what the engine said afterwards: group, slots and cold time were acknowledged with 200 and not followed.

Cause: within one life the first word held for good, and the highest number, whoever had written it.

Why this works: such an entry is a rival like one with a later start, and gives way to a life that goes on announcing itself while it is silent. A server that has announced itself twice doesn't give way to entries of another service or address, and one that leaves doesn't come back by a lower number: late words lie less than 10^9 behind.

--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/life_order.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/life_order.py
@@ -8,6 +8,9 @@
 _MIN_SPAN_S = 0.5
 """Time in seconds from the first announcement of a life that has a rival to the one
 from which it counts. What a frozen process finds waiting is read within less."""
+_MOST_BEHIND = 10**9
+"""By which the sequence of a late announcement may lie behind the newest one, also
+where a server takes the time of day in ms for it."""
 
 
 class _Claim(Record):
@@ -60,11 +63,34 @@
         self.entry = entry
         self.heard_s = heard_s
 
-    def is_against(self, entry, start_ms):
-        """Return whether only this one or the announcement can hold."""
-        if self.entry.id == entry.id:
+    def is_against(self, entry, start_ms, is_first_word):
+        """
+        Return whether only this one or the announcement can hold.
+
+        Parameters
+        ----------
+        entry : ServerEntry
+        start_ms : int
+            Under which the announcement counts.
+        is_first_word : bool
+            Whether nothing but one announcement supports this entry.
+
+        Returns
+        -------
+        bool
+        """
+        if self.entry.id != entry.id:
+            return self.entry.state is not ServerState.GONE
+        if self.entry.born_ms != start_ms:
             return self.entry.born_ms > start_ms
-        return self.entry.state is not ServerState.GONE
+        if is_first_word and not self.entry.has_endpoint_of(entry):
+            return True
+        return self._is_far_ahead(entry)
+
+    def _is_far_ahead(self, entry):
+        # A server that leaves must not come back by its own late announcements.
+        are_ready = self.entry.state is entry.state is ServerState.READY
+        return are_ready and self.entry.sequence - entry.sequence > _MOST_BEHIND
 
 
 class LifeOrder:
@@ -74,15 +100,17 @@
     Servers state their start by their own clock. One that starts again after its clock
     has stepped back states an earlier start, and would count as its own former life for
     good: its departure would be acknowledged and not acted upon. And one odd entry with
-    a late start under its id, or at its address, would keep a sound server out. So a
+    a late start or a high sequence under its id, or at its address, would keep a sound
+    server out, as would one that was read before the server's own announcements. So a
     life only takes another's place if it goes on announcing itself while the other is
     silent.
     """
 
-    __slots__ = ("_claims", "_starts")
+    __slots__ = ("_claims", "_first_words", "_starts")
 
     def __init__(self):
         self._claims = {}
+        self._first_words = set()
         self._starts = {}
 
     def resolve(self, entry, rivals, now):
@@ -106,9 +134,14 @@
         if not entry.born_ms:
             return entry
         start_ms = self.start_of(entry.id, entry.born_ms)
-        against = [rival for rival in rivals if rival.is_against(entry, start_ms)]
+        against = [
+            rival
+            for rival in rivals
+            if rival.is_against(entry, start_ms, rival.entry.id in self._first_words)
+        ]
         if not against:
             self._claims.pop(entry.id, None)
+            self._count_word(entry.id, start_ms, rivals)
             return entry.replace(born_ms=start_ms)
         if not self._is_proved(entry, max(rival.heard_s for rival in against), now):
             return None
@@ -119,6 +152,14 @@
             self._starts[entry.id] = (entry.born_ms, start_ms)
         return entry.replace(born_ms=start_ms)
 
+    def _count_word(self, id, start_ms, rivals):
+        """Note whether a life has announced itself more than once."""
+        known = {(rival.entry.id, rival.entry.born_ms) for rival in rivals}
+        if (id, start_ms) in known:
+            self._first_words.discard(id)
+        else:
+            self._first_words.add(id)
+
     def _is_proved(self, entry, rival_heard_s, now):
         claim = self._claims.get(entry.id)
         is_alone = claim is not None and rival_heard_s <= claim.since_s
@@ -154,6 +195,7 @@
         """Drop what is kept of some servers."""
         for id in ids:
             self._claims.pop(id, None)
+            self._first_words.discard(id)
             self._starts.pop(id, None)
 
 
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/server_registry.py
@@ -109,6 +109,20 @@
         """
         return (self.born_ms, self.state is ServerState.GONE, self.sequence)
 
+    def has_endpoint_of(self, other):
+        """
+        Return whether two announcements name one service and one address.
+
+        Parameters
+        ----------
+        other : ServerEntry
+
+        Returns
+        -------
+        bool
+        """
+        return (self.service, self.address) == (other.service, other.address)
+
     def to_json(self):
         """
         Encode as a JSON-compatible value.
@@ -259,7 +273,7 @@
         known = self.entries.get(entry.id)
         if known is None or not entry.born_ms or known.born_ms != entry.born_ms:
             return False
-        return (known.service, known.address) != (entry.service, entry.address)
+        return not known.has_endpoint_of(entry)
 
     def _merge_cold_report(self, entry, known, now):
         """Merge the cold report; return whether followers have to be notified."""
--- a/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_life_order.py
+++ b/packages/gooseberryyoke/src/gooseberryyoke/membership/tests/test_life_order.py
@@ -123,3 +123,53 @@
     gone = at_address("i", KNOWN_MS, 9, ServerState.GONE)
     next = at_address("next", BEFORE_MS)
     assert resolve(LifeOrder(), (1.0, next), known=gone, heard_s=0.9) == [next]
+
+
+def settled(order, *announcements):
+    """Resolve announcements beside the life that each of them makes the known one."""
+    found, rivals = [], []
+    for at_s, announced in announcements:
+        resolved = order.resolve(announced, rivals, at_s)
+        found.append(resolved)
+        if resolved is not None:
+            rivals = [Rival(resolved, at_s)]
+    return found
+
+
+def test_a_first_word_that_names_another_service_gives_way():
+    # Guards against one odd entry, read before the server's own word, by which the
+    # server is refused for as long as the entry is remembered.
+    first, *own = settled(
+        LifeOrder(),
+        (0.0, entry(KNOWN_MS, 1, service="odd")),
+        *((BEAT_S * number, entry(KNOWN_MS, number)) for number in (2, 3, 4)),
+    )
+    assert first is not None
+    assert own == [None, entry(KNOWN_MS + 1, 3), entry(KNOWN_MS + 1, 4)]
+
+
+def test_a_server_that_has_announced_itself_twice_keeps_its_place():
+    # Guards against another writer that goes on, while the server reports elsewhere.
+    order = LifeOrder()
+    settled(order, (0.0, entry(KNOWN_MS, 1)), (BEAT_S, entry(KNOWN_MS, 2)))
+    rivals = [Rival(entry(KNOWN_MS, 2), BEAT_S)]
+    for number in (5, 6, 7):
+        odd = entry(KNOWN_MS, number, service="odd")
+        assert order.resolve(odd, rivals, BEAT_S * number) == odd
+
+
+def test_a_sequence_far_ahead_gives_way_to_words_that_go_on():
+    # Guards against one odd entry by which a server's own words are acknowledged and
+    # not acted upon.
+    odd = entry(KNOWN_MS, 2**53)
+    found = resolve(
+        LifeOrder(), (1.0, entry(KNOWN_MS, 3)), (2.2, entry(KNOWN_MS, 4)), known=odd
+    )
+    assert found == [None, entry(KNOWN_MS + 1, 4)]
+
+
+def test_a_server_that_leaves_does_not_come_back_by_a_lower_sequence():
+    order = LifeOrder()
+    left = entry(KNOWN_MS, 2**53, state=ServerState.DRAINING)
+    late = [entry(KNOWN_MS, number) for number in (3, 4)]
+    assert resolve(order, (1.0, late[0]), (2.2, late[1]), known=left) == late
