--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/groups/armed_driver.py
@@ -5,12 +5,12 @@
 
 from gooseberryyoke.expert.armed import Disarm, Hold, Prepare, Progress
 from gooseberryyoke.expert.demand import GroupDemand
-from gooseberryyoke.expert.expert_map import ExpertMap
 from gooseberryyoke.expert.hold_rank import choose_hold_rank
 from gooseberryyoke.expert.rebalance import step_skew
 from gooseberryyoke.expert.replicas import ReplicaLimits, plan_replicas
 from gooseberryyoke.expert.step_cost import step_cost
 from gooseberryyoke_daemon.groups.group_calls import GroupCalls, RoundEnded
+from gooseberryyoke_daemon.groups.layout import layout_of, map_of
 from gooseberryyoke_daemon.groups.packing import unpack
 from gooseberryyoke_daemon.logs import log_event
 
@@ -177,7 +177,7 @@
         )
 
     async def _layout_in_force(self, calls):
-        return _layout_of(_map_of(await self._read_experts(calls)))
+        return layout_of(map_of(await self._read_experts(calls)))
 
     async def _read_experts(self, calls):
         await calls.look(experts=True)
@@ -218,7 +218,7 @@
         if {(r.status.epoch, r.status.version) for r in calls.ranks} != {version}:
             raise RoundEnded("the map changed while it was read")
         # Only now: what ranks tell around a switch may be no map.
-        self._map, self._map_version = _map_of(experts), version
+        self._map, self._map_version = map_of(experts), version
 
     def _target(self):
         pace = self._pace()
@@ -247,7 +247,7 @@
     async def _change(self, calls, fence, epoch, target):
         start_s = trio.current_time()
         version = self._next_version(fence)
-        await calls.order_all(epoch, Prepare(version, _layout_of(target)))
+        await calls.order_all(epoch, Prepare(version, layout_of(target)))
         prepared_s = trio.current_time()
         holder = self._holder(calls)
         step = await self._hold(calls, holder, epoch)
@@ -286,28 +286,3 @@
         [sum(of_expert) for of_expert in zip(*rows, strict=True)]
         for rows in zip(*by_rank, strict=True)
     ]
-
-
-def _map_of(experts_by_rank):
-    """Turn experts by rank and layer into ranks by layer and expert."""
-    layers = []
-    for layer in range(len(experts_by_rank[0])):
-        count = 1 + max(max(own[layer]) for own in experts_by_rank if own[layer])
-        holders = [[] for _ in range(count)]
-        for rank, own in enumerate(experts_by_rank):
-            for expert in own[layer]:
-                holders[expert].append(rank)
-        layers.append(holders)
-    return ExpertMap(len(experts_by_rank), layers)
-
-
-def _layout_of(expert_map):
-    """Turn a map into experts by layer and rank."""
-    layout = []
-    for holders in expert_map.layers:
-        by_rank = [[] for _ in range(expert_map.rank_count)]
-        for expert, ranks in enumerate(holders):
-            for rank in ranks:
-                by_rank[rank].append(expert)
-        layout.append(by_rank)
-    return layout
