--- a/tools/proof/search.py
+++ b/tools/proof/search.py
@@ -3,7 +3,8 @@
 from collections import Counter
 
 from gooseberryyoke.record import Record
-from tools.proof.world import PROFILES, RegisterWorld
+from tools.proof.profiles import PROFILES
+from tools.proof.world import RegisterWorld
 
 __all__ = ["RegisterReport", "search_registers"]
 
--- a/tools/proof/succession.py
+++ b/tools/proof/succession.py
@@ -18,6 +18,7 @@
     Released,
 )
 from gooseberryyoke.register.state import HANDED_OVER
+from tools.proof.world_replica import WorldReplica
 
 __all__ = ["Succession"]
 
@@ -93,7 +94,7 @@
         if not isinstance(granted, HandingOver):
             return
         identified = Identified(holder.seat, granted.incarnation)
-        successor = self._world.make_replica(holder.seat, [identified])
+        successor = WorldReplica(holder.seat, [identified])
         page, after = None, ""
         while page is None or page.more:
             yield True
--- a/tools/proof/tests/test_proof_search.py
+++ b/tools/proof/tests/test_proof_search.py
@@ -24,8 +24,9 @@
 from tools.proof.evacuation_search import search_evacuations  # noqa: E402
 from tools.proof.evacuations import EVACUATION_PROFILES  # noqa: E402
 from tools.proof.history import Entry, History  # noqa: E402
+from tools.proof.profiles import PROFILES  # noqa: E402
 from tools.proof.search import search_registers  # noqa: E402
-from tools.proof.world import PROFILES, RegisterWorld  # noqa: E402
+from tools.proof.world import RegisterWorld  # noqa: E402
 
 VICTIMS = ("entry", "agent", "r1", "r2", "r3")
 PAIRS = [(one,) for one in VICTIMS] + list(combinations(VICTIMS, 2))
--- a/tools/proof/world.py
+++ b/tools/proof/world.py
@@ -5,166 +5,31 @@
 
 from returns.result import Success
 
-from gooseberryyoke.record import Record
 from gooseberryyoke.register import (
-    Acceptor,
     CollectOperation,
     Proposer,
     ReadOperation,
-    ReplicaState,
     WriteOperation,
     majority,
 )
-from gooseberryyoke.register.changes import (
-    FloorRaised,
-    Founded,
-    Identified,
-    Joined,
-    Reclaimed,
-    SeatNamed,
-    SeatTaken,
-    SlotDropped,
-    SlotStored,
-)
-from gooseberryyoke.register.identity import Incarnation, exclude_replaced
-from gooseberryyoke.register.messages import (
-    Confirm,
-    Confirmed,
-    Copy,
-    CopyPage,
-    Hello,
-    SeatQuery,
-    SeatReport,
-)
-from gooseberryyoke.register.repair import (
-    Admission,
-    ContestOutcome,
-    decide_contest,
-    decide_first_join,
-    decide_rejoin,
-    is_replaced,
-    merge_slot,
-    next_incarnation,
-)
-from gooseberryyoke.register.state import FRESH, HANDED_OVER, READY
+from gooseberryyoke.register.changes import Founded, Identified
+from gooseberryyoke.register.identity import Incarnation
+from gooseberryyoke.register.repair import next_incarnation
+from gooseberryyoke.register.state import FRESH, READY
 from tools.proof.history import Entry, History
+from tools.proof.profiles import PROFILES
 from tools.proof.succession import Succession
+from tools.proof.ways_in import WaysIn
+from tools.proof.world_replica import WorldReplica
 
-__all__ = ["PROFILES", "Profile", "RegisterWorld"]
+__all__ = ["RegisterWorld"]
 
 _DEADLINE_S = 4.0
-_PAGE_SLOTS = 2
 _SETTLE_STEPS = 20_000
 _TURN_PART = 0.01
 """Of the steps in the end in which a seat's other folder gets its turn."""
 
 
-class Profile(Record):
-    """
-    How often what happens; weights against one another.
-
-    Parameters
-    ----------
-    step_s : float
-        Time that a step takes.
-    request, reply, sync : float
-        Delivery of a request or a reply, and a replica's sync.
-    crash, disk, join : float
-        Crash, loss of a disk, and a step of a replica on its way back.
-    switch : float
-        A seat's other folder goes on with it; there is an empty one at first.
-    succession : float
-        A step on the way of a seat from its holder to a successor.
-    """
-
-    __slots__ = (
-        "step_s",
-        "request",
-        "reply",
-        "sync",
-        "crash",
-        "disk",
-        "join",
-        "switch",
-        "succession",
-    )
-
-    def __init__(
-        self, step_s, request, reply, sync, crash, disk, join, switch=0, succession=0
-    ):
-        self.step_s = step_s
-        self.request = request
-        self.reply = reply
-        self.sync = sync
-        self.crash = crash
-        self.disk = disk
-        self.join = join
-        self.switch = switch
-        self.succession = succession
-
-
-PROFILES = {
-    "mixed": Profile(0.01, 30, 30, 20, 0.8, 0.6, 8),
-    # Replicas are replaced while single messages of a round are still on the way.
-    "replaced": Profile(0.002, 8, 12, 20, 0.2, 2.0, 60),
-    # Little goes wrong but the order, so that many operations come to an end.
-    "crossed": Profile(0.004, 20, 20, 30, 0.05, 0.05, 8),
-    # Seats are taken over, given up half-way and taken back.
-    "contested": Profile(0.002, 12, 16, 20, 0.4, 0.3, 60, 2.0),
-    # Seats are handed over, several at a time, among losses and takeovers.
-    "handed over": Profile(0.002, 20, 24, 30, 0.2, 0.3, 40, 0.3, 3),
-}
-
-
-class WorldReplica:
-    """One replica: what is synced, what is not, and how far it has joined."""
-
-    def __init__(self, seat, changes):
-        self.seat = seat
-        self.synced = list(changes)
-        self.unsynced = []
-        self.is_up = True
-        self.forget_copy()
-        self.way_in = None
-        self.load()
-
-    def load(self):
-        """Forget all that is not synced."""
-        state = ReplicaState()
-        for change in self.synced:
-            state.apply(change)
-        self.unsynced = []
-        self.forget_copy()
-        self.way_in = None
-        self.acceptor = Acceptor(state, is_admitted=True)
-
-    def forget_copy(self):
-        """Begin the next copy from the first page, and with no slots."""
-        self.copied = {}
-
-    @property
-    def state(self):
-        return self.acceptor.state
-
-    @property
-    def is_ready(self):
-        return self.is_up and self.acceptor.phase() == READY
-
-    def record(self, changes):
-        """Apply and sync."""
-        for change in changes:
-            self.state.apply(change)
-        self.synced += changes
-
-    def sync(self):
-        """Sync; return the replies that waited for it."""
-        replies = [reply for _, reply in self.unsynced]
-        for changes, _ in self.unsynced:
-            self.synced += changes
-        self.unsynced = []
-        return replies
-
-
 class _Client:
     """One operation that goes on."""
 
@@ -218,8 +83,7 @@
         self._requests = []
         self._replies = []
         self._clients = {}
-
-    make_replica = WorldReplica
+        self._ways_in = WaysIn(self)
 
     @property
     def now(self):
@@ -463,92 +327,7 @@
     def _join(self):
         replica = self.replicas[self.rng.choice(self.seats)]
         if replica.is_up:
-            self._go_on(replica)
-
-    def _go_on(self, replica):
-        if not replica.is_ready:
-            self._try_to_join(replica)
-            return
-        if is_replaced(replica.state, self._greet(replica)):
-            replica.acceptor.is_admitted = False
-
-    def _try_to_join(self, replica):
-        if replica.state.status == HANDED_OVER:
-            return
-        if replica.way_in is not None:
-            if next(replica.way_in, None) is None:
-                replica.way_in = None
-            return
-        hellos = self._greet(replica)
-        size = len(self.seats)
-        if replica.state.status != FRESH:
-            position = len(replica.synced)
-            judgement = decide_rejoin(replica.state, position, size, hellos)
-            if judgement.admission is Admission.SERVE:
-                replica.acceptor.is_admitted = True
-            elif judgement.admission is Admission.REFUSE:
-                self._give_up(replica)
-            elif judgement.admission is Admission.RECLAIM:
-                replica.way_in = self._reclaim(replica, judgement.sources, hellos)
-            return
-        judgement = decide_first_join(replica.state, size, hellos, founding=frozenset())
-        if judgement.admission is Admission.RENEW:
-            incarnation = next_incarnation(replica.seat, hellos, self.rng)
-            replica.record([Identified(replica.seat, incarnation)])
-            replica.forget_copy()
-        elif judgement.admission is Admission.COPY:
-            self._copy(replica, judgement.sources)
-
-    def _give_up(self, replica):
-        """Leave the seat to its other folder."""
-        other = self.aside.pop(replica.seat, None)
-        if other is not None:
-            self.replicas[replica.seat] = other
-            self.faults_injected["seat given up"] += 1
-
-    def _reclaim(self, replica, sources, hellos):
-        """Take the seat back, a call at a time."""
-        if (yield from self._contest(replica, sources)) is not ContestOutcome.WON:
-            return
-        if replica.state.status == READY or is_replaced(replica.state, hellos):
-            former = replica.state.former or replica.state.incarnation
-            incarnation = next_incarnation(replica.seat, hellos, self.rng)
-            replica.record([Reclaimed(incarnation, former)])
-        name = Copy(replica.seat, replica.state.incarnation, "", 0)
-        named = yield from self._ask(sources, name, CopyPage)
-        if (yield from self._contest(replica, named)) is ContestOutcome.WON:
-            replica.record([Joined()])
-            replica.acceptor.is_admitted = True
-            self.faults_injected["seat reclaimed"] += 1
-
-    def _contest(self, replica, seats):
-        reports = yield from self._ask(seats, SeatQuery(), SeatReport)
-        reports = list(reports.values())
-        if len(exclude_replaced(reports)) < len(reports):
-            return ContestOutcome.OPEN
-        contest = decide_contest(replica.state, len(self.seats), reports)
-        if contest is ContestOutcome.LOST:
-            self._give_up(replica)
-        return contest
-
-    def _ask(self, seats, message, kind):
-        """Call some seats, in any order, a step each; return the replies of a kind."""
-        replies = {}
-        for seat in self.rng.sample(sorted(seats), len(seats)):
-            other = self.replicas[seat]
-            reply = self.call(other, message) if other.is_up else None
-            if isinstance(reply, kind):
-                replies[seat] = reply
-            yield seat
-        return replies
-
-    def _greet(self, replica):
-        hello = Hello(replica.seat, replica.state.incarnation, 0, True)
-        return [
-            self.call(other, hello)
-            for other in self.replicas.values()
-            if other is not replica and other.is_up
-        ]
+            self._ways_in.go_on(replica)
 
     def call(self, replica, message):
         """Call a replica that syncs at once."""
@@ -557,56 +336,6 @@
         replica.synced += list(answer.changes)
         return answer.reply
 
-    def _copy(self, replica, sources):
-        """Copy one more page from one source; end once all are copied."""
-        waiting = [seat for seat in sources if not _is_whole(replica.copied.get(seat))]
-        if not waiting:
-            self._end_copy(replica, sources)
-            return
-        if not replica.copied:
-            slots = list(replica.state.slots)
-            replica.record([SlotDropped(key, replica.state.floor) for key in slots])
-        seat = self.rng.choice(waiting)
-        page = replica.copied.get(seat)
-        after = page.slots[-1].key if page is not None else ""
-        message = Copy(replica.seat, replica.state.incarnation, after, _PAGE_SLOTS)
-        page = self.call(self.replicas[seat], message)
-        if not isinstance(page, CopyPage):
-            replica.forget_copy()
-            return
-        replica.copied[seat] = page
-        replica.record([_merged(replica, keyed) for keyed in page.slots])
-
-    def _end_copy(self, replica, sources):
-        pages = [replica.copied[seat] for seat in sources]
-        if len(exclude_replaced(pages)) < len(pages):
-            replica.forget_copy()
-            return
-        replica.way_in = self._confirm(replica, pages)
-
-    def _confirm(self, replica, pages):
-        """Have a majority note that the copy is whole, a call at a time."""
-        sources = [page.sender.seat for page in pages]
-        reports = yield from self._ask(sources, SeatQuery(), SeatReport)
-        if len(reports) < len(sources):
-            replica.forget_copy()
-            return
-        floor = max(page.floor for page in pages)
-        changes = [FloorRaised(floor)]
-        for page in pages:
-            changes += [SeatNamed(*item) for item in page.sender.roster.items()]
-        for report in reports.values():
-            for seat, confirmed in report.joined.items():
-                changes += [SeatTaken(seat, incarnation) for incarnation in confirmed]
-        replica.record(changes)
-        message = Confirm(replica.seat, replica.state.incarnation)
-        others = [seat for seat in self.seats if seat != replica.seat]
-        confirmed = yield from self._ask(others, message, Confirmed)
-        if len(confirmed) >= majority(len(self.seats)):
-            replica.record([Joined()])
-            replica.acceptor.is_admitted = True
-            self.faults_injected["repair"] += 1
-
     def _reap(self):
         for identity, client in list(self._clients.items()):
             proposer = client.proposer
@@ -639,7 +368,7 @@
                 replica.is_up = True
                 if not replica.is_ready and self.rng.random() < _TURN_PART:
                     self._let_other_try(replica)
-                self._go_on(self.replicas[replica.seat])
+                self._ways_in.go_on(self.replicas[replica.seat])
             self._hand_over_in_peace()
             actions = [self._sync, self._tick]
             actions += [self._deliver_request] * (3 if self._requests else 0)
@@ -648,12 +377,3 @@
             self._reap()
         if not isinstance(client.proposer.result, Success):
             raise AssertionError(f"{key} could not be read: {client.proposer.result}")
-
-
-def _is_whole(page):
-    return page is not None and not page.more
-
-
-def _merged(replica, keyed):
-    slot = merge_slot(replica.state.slots.get(keyed.key), keyed.slot)
-    return SlotStored(keyed.key, slot)
