--- a/tools/soak/crashing_engine.py
+++ b/tools/soak/crashing_engine.py
@@ -8,7 +8,7 @@
 from gooseberryyoke.crash import shared_parts
 from gooseberryyoke_daemon.wire import BodyCut, Response
 from gooseberryyoke_platform.names import HEADERS
-from tools.soak.routed_deployment import SIGNATURE, Engine
+from tools.soak.engine import SIGNATURE, Engine
 
 __all__ = ["HARMFUL", "CrashingEngine", "harmful_path", "stream_body"]
 
--- a/tools/soak/departure_soak.py
+++ b/tools/soak/departure_soak.py
@@ -7,8 +7,9 @@
 from examples.demonstration.report import Point
 from gooseberryyoke.record import Record
 from gooseberryyoke_platform.names import LEAVE_PREFIX
+from tools.soak.engine import Engine
 from tools.soak.faults import Kill, Pause
-from tools.soak.routed_deployment import Engine, RoutedDeployment
+from tools.soak.routed_deployment import RoutedDeployment
 from tools.soak.routed_soak import RoutedSoak
 
 __all__ = ["DepartureSoak", "Left", "LeavingEngine", "arrivals_after_leaving"]
--- a/tools/soak/retry_soak.py
+++ b/tools/soak/retry_soak.py
@@ -10,12 +10,10 @@
 from gooseberryyoke.retry import RetryLimit, RetryLimitCheck
 from gooseberryyoke_daemon.wire import Response, WireError
 from gooseberryyoke_platform.names import HEADERS
+from tools.soak.document import make_document
+from tools.soak.engine import Engine
 from tools.soak.faults import Kill, Pause
-from tools.soak.routed_deployment import (
-    Engine,
-    RoutedDeployment,
-    make_document,
-)
+from tools.soak.routed_deployment import RoutedDeployment
 from tools.soak.routed_soak import RoutedSoak
 
 __all__ = ["RetrySoak"]
--- a/tools/soak/routed_deployment.py
+++ b/tools/soak/routed_deployment.py
@@ -4,7 +4,6 @@
 import sys
 from random import Random
 from shutil import rmtree
-from time import time
 
 import trio
 
@@ -13,9 +12,7 @@
 from gooseberryyoke_daemon.wire import (
     Address,
     HttpClient,
-    HttpServer,
     Request,
-    Response,
     TcpNetwork,
     WireError,
 )
@@ -27,11 +24,10 @@
     READY,
     SETTINGS_VARIABLE,
 )
+from tools.soak.document import DOCUMENT, KEY
+from tools.soak.engine import Engine
 
-__all__ = ["SIGNATURE", "ZONES", "Engine", "RoutedDeployment", "make_document"]
-
-SIGNATURE = (HEADERS.signature, "soak")
-"""Of all engines."""
+__all__ = ["ZONES", "RoutedDeployment"]
 
 ZONES = ("z-a", "z-b", "z-c")
 _CONTROLS = 3
@@ -46,8 +42,6 @@
 """Two runs at a time must not share addresses: each process takes a network of
 127.0.0.0/8 by its number."""
 _HEARTBEAT_S = 0.5
-_COLD_MS = 2000
-_ANSWER_S = (0.01, 0.1)
 _CALL_S = 2.0
 _START_S = 30.0
 _GRACE_S = 3
@@ -55,122 +49,7 @@
 """Number of the address before those of control processes that are added."""
 _POLL_S = 0.1
 _OK = 200
-_KEY = "soak-key"
 _RETRY_LIMIT = RetryLimit()
-_DOCUMENT = {
-    "version": 1,
-    "routes": [
-        {
-            "name": "read",
-            "host": "soak.example",
-            "path_prefix": "/read/",
-            "kind": "idempotent",
-            "timeout_ms": 2000,
-            "max_attempts": 2,
-            "service": "s",
-        },
-        {
-            "name": "draw",
-            "host": "soak.example",
-            "path_prefix": "/draw/",
-            "kind": "streaming",
-            "timeout_ms": 5000,
-            "max_attempts": 2,
-            "resumable": True,
-            "service": "s",
-        },
-    ],
-    "services": [{"name": "s", "cold_per_s": 5, "cold_start_s": 1}],
-    "tenants": [{"name": "soak", "api_keys": [_KEY]}],
-}
-
-
-def make_document(services, max_attempts):
-    """
-    Make the configuration of services that are read, each on a route of its own.
-
-    Parameters
-    ----------
-    services : list of str
-    max_attempts : int
-
-    Returns
-    -------
-    dict
-    """
-    read = {**_DOCUMENT["routes"][0], "max_attempts": max_attempts}
-    routes = [
-        {**read, "name": name, "path_prefix": f"/{name}/", "service": name}
-        for name in services
-    ]
-    return {
-        **_DOCUMENT,
-        "routes": routes,
-        "services": [{"name": name} for name in services],
-    }
-
-
-class Engine:
-    """
-    A server that notes what arrives, and announces itself.
-
-    Parameters
-    ----------
-    id, zone : str
-    address : Address
-    rng : random.Random
-
-    Attributes
-    ----------
-    arrivals : list of float
-        On trio's clock.
-    is_up : bool
-        Whether it listens and announces itself.
-    service : str
-    """
-
-    service = "s"
-
-    def __init__(self, id, zone, address, rng):
-        self.id = id
-        self.zone = zone
-        self.address = address
-        self.arrivals = []
-        self.is_up = True
-        self._rng = rng
-        self._sequence = 0
-        self.return_cold(0)
-
-    def return_cold(self, cold_ms=_COLD_MS):
-        """Begin a new life that is cold for some time."""
-        self._born_ms = round(time() * 1000)
-        self._warm_s = trio.current_time() + cold_ms / 1000
-
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serve until cancelled."""
-        listeners = await TcpNetwork().listen(self.address)
-        await HttpServer(self.serve).run(listeners, task_status=task_status)
-
-    async def serve(self, request):
-        """Note a request and answer it."""
-        self.arrivals.append(trio.current_time())
-        await trio.sleep(self._rng.uniform(*_ANSWER_S))
-        return Response(_OK, [SIGNATURE], b"done")
-
-    def announcement(self):
-        """Make the next heartbeat."""
-        self._sequence += 1
-        cold_s = max(0.0, self._warm_s - trio.current_time())
-        return {
-            "service": self.service,
-            "address": str(self.address),
-            "zone": self.zone,
-            "slot_count": 8,
-            "state": "ready",
-            "sequence": self._sequence,
-            "born": self._born_ms,
-            "cold_remaining_ms": round(cold_s * 1000),
-        }
 
 
 class RoutedDeployment:
@@ -205,7 +84,7 @@
         folder,
         seed,
         engine_type=Engine,
-        document=_DOCUMENT,
+        document=DOCUMENT,
         gateways=_GATEWAYS,
         retry_limit=_RETRY_LIMIT,
         grace_s=_GRACE_S,
@@ -407,7 +286,7 @@
         host = self._hosts[self._rng.choice(self.gateways)]
         headers = [
             ("host", "soak.example"),
-            ("authorization", f"Bearer {_KEY}"),
+            ("authorization", f"Bearer {KEY}"),
             (HEADERS.attempt_id, f"a-{self._attempts}"),
             (HEADERS.deadline_ms, str(deadline_ms)),
             *headers,
@@ -457,12 +336,19 @@
         return None
 
     def _write_settings(self, name, is_first):
+        # Whoever reads it meanwhile finds the former file whole.
+        path = self._folder / f"{name}.toml"
+        new = path.with_suffix(".new")
+        new.write_text(self._settings(name, is_first))
+        new.replace(path)
+
+    def _settings(self, name, is_first):
         host = self._hosts[name]
         zone = ZONES[(int(name.rpartition("-")[2]) - 1) % len(ZONES)]
         listed = ", ".join(f'"{address}"' for address in self.control_addresses())
         zones = ", ".join(f'"{one}"' for one in ZONES)
         limit = self._retry_limit
-        text = f"""\
+        return f"""\
 node_name = "{name}"
 ip = "{host}"
 zone = "{zone}"
@@ -483,11 +369,6 @@
 retry_budget_slack = {limit.slack}
 budget_window_s = {limit.window_s}
 """
-        # Whoever reads it meanwhile finds the former file whole.
-        path = self._folder / f"{name}.toml"
-        new = path.with_suffix(".new")
-        new.write_text(text)
-        new.replace(path)
 
 
 async def _answers(client, address, request):
