--- a/tools/bench/place_sharing.py
+++ b/tools/bench/place_sharing.py
@@ -2,7 +2,8 @@
 
 import click
 
-from tools.bench.place_sharing_replay import WAYS, Fault, Replay
+from tools.bench.place_sharing_replay import Fault, Replay
+from tools.bench.place_sharing_ways import WAYS
 
 __all__ = ["compare", "main"]
 
