Wait in a planned stop for requests that are not whole yet

What callers saw: in a planned stop in calm, a caller whose body came slowly was cut without an answer 1 s after the gateway had closed its listeners, although seconds of the grace were left: it couldn't tell whether its request had run.

Cause: the stop waited for requests that are handled; one that is being received was not counted, so that a gateway without others ended at once.

Evidence: two of three cases of test_stop_slow_bodies.py failed before, with no reply at all when the stop had ended.

Why this works: requests that have begun to come count as work until they are whole; then the stop answers or refuses them like others. Each has a limit of its own on how long it may take, and the stop ends at its time in any case.

--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/server.py
@@ -37,6 +37,8 @@
         Connections that are served now.
     exchanges : int
         Requests that are with the handler now, answers being sent included.
+    receiving : int
+        Requests that have begun to come and are not whole.
     counts : collections.Counter
         Events since the start by name: ``accepted``, ``requests``,
         ``peer-gone``, ``body-cut``, ``handler-failed``, ``slow-reader``, and
@@ -48,7 +50,7 @@
         self.limits = limits or Limits()
         self.held = held or HeldBytes()
         self.open_connections = 0
-        self.exchanges = 0
+        self.exchanges = self.receiving = 0
         self.counts = Counter()
         self.is_draining = False
         self._refused_now = 0
@@ -101,8 +103,12 @@
             scope.deadline = min(scope.deadline, self._grace_ends_s)
 
     async def finish_exchanges(self):
-        """Wait until no request is with the handler and no answer being sent."""
-        while self.exchanges:
+        """
+        Wait until no request is being received or handled, and no answer sent.
+
+        A caller that is cut while it sends can't tell whether its request has run.
+        """
+        while self.exchanges or self.receiving:
             await trio.sleep(_LOOK_S)
 
     def note_memory_full(self):
--- a/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
+++ b/packages/gooseberryyoke-daemon/src/gooseberryyoke_daemon/wire/serving.py
@@ -97,8 +97,7 @@
         if not await self._wait_for_request():
             return False
         with self._server.held.open() as holding:
-            self._set_deadline(self._limits.slow_sender_s, self._slow_sender)
-            req = await read_request(self._channel, self._limits, holding)
+            req = await self._receive(holding)
             if req is None:
                 return False
             self._server.counts["requests"] += 1
@@ -111,6 +110,14 @@
         done = conn.our_state is h11.DONE and conn.their_state is h11.DONE
         return done and not self._gone
 
+    async def _receive(self, holding):
+        self._set_deadline(self._limits.slow_sender_s, self._slow_sender)
+        self._server.receiving += 1
+        try:
+            return await read_request(self._channel, self._limits, holding)
+        finally:
+            self._server.receiving -= 1
+
     async def _wait_for_request(self):
         self._late = _idle_connection
         self._scope.deadline = self._server.idle_deadline_s()
